--- /dev/null
+++ b/internal/contract/contract.go
@@ -0,0 +1,66 @@
+// Package contract holds the operators' text: the services, the database groups they depend on,
+// the workspaces with their rates, and the routes by which callers reach them.
+package contract
+
+import "time"
+
+// Contract is a validated operators' text. It is not changed after Parse.
+type Contract struct {
+	Domains    []string             // names of all failure domains
+	Services   map[string]Service   // by name
+	Workspaces map[string]Workspace // by name
+}
+
+// Service is a set of database groups that serve the same routes.
+type Service struct {
+	Name       string
+	WhenCutOff CutOff           // default of the routes
+	Groups     map[string]Group // by name
+	Routes     map[string]Route // by name; the route "" applies to a database name without a route
+}
+
+// Group is a database group: servers that replicate one log.
+type Group struct {
+	Name    string
+	Service string
+	Servers []Server
+}
+
+// Server is one target.
+type Server struct {
+	Name        string // unique within the contract
+	Address     string // host:port
+	Domain      string // failure domain
+	Slots       int    // statements that run at once
+	Connections int    // connections that the server accepts from the whole fleet
+}
+
+// Workspace is a customer whose requests share a rate and burst across the fleet.
+type Workspace struct {
+	Name   string
+	Rate   float64           // requests per second
+	Burst  float64           // requests
+	Weight int               // share of a target's slots relative to other workspaces
+	Groups map[string]string // group name by service name
+}
+
+// Route says how requests of one kind are served.
+type Route struct {
+	Name       string
+	Read       bool          // reads may be served by replicas; writes are refused
+	MaxAge     time.Duration // greatest age of a replica's data; 0 means that only the session floor binds
+	Repeatable bool          // a request may be sent again after an unknown outcome
+	Open       string        // workspace charged for callers without a key; empty if a key is required
+	WhenCutOff CutOff
+	Timeout    time.Duration // longest time that one statement may take
+}
+
+// CutOff says what a VM does on a route once it no longer knows that its configuration is current.
+type CutOff string
+
+// Values of CutOff.
+const (
+	CutOffServe    CutOff = "serve"
+	CutOffReadOnly CutOff = "read_only"
+	CutOffRefuse   CutOff = "refuse"
+)
--- /dev/null
+++ b/internal/platform/platform.go
@@ -0,0 +1,67 @@
+// Package platform is the client of the platform's object API, which keeps everything
+// of siskinrouter that has to outlive a VM.
+package platform
+
+import (
+	"context"
+	"errors"
+)
+
+// MaxValueSize is the largest value of an object, in bytes.
+const MaxValueSize = 1 << 20
+
+// Object is a named value with a version that grows by one with each update. Version 0 means
+// that the object does not exist.
+type Object struct {
+	Name    string `json:"name"`
+	Version uint64 `json:"version"`
+	Value   []byte `json:"value"`
+}
+
+// VMState is the state of a VM in the platform's list.
+type VMState string
+
+// States of a VM in the platform's list. A VM that the platform has stopped is absent.
+const (
+	VMLive    VMState = "live"
+	VMLeaving VMState = "leaving"
+)
+
+// VM is an entry of the platform's list, which lags behind reality.
+type VM struct {
+	Name        string  `json:"name"`
+	Incarnation string  `json:"incarnation"` // differs for each start of a VM of the same name
+	Domain      string  `json:"domain"`      // failure domain
+	Address     string  `json:"address"`     // host:port of the fleet service
+	State       VMState `json:"state"`
+}
+
+// Errors of a Store. Each is checked with errors.Is.
+var (
+	// ErrNotFound means that the object does not exist.
+	ErrNotFound = errors.New("object not found")
+	// ErrConflict means that the object has another version than the update was based on.
+	ErrConflict = errors.New("object was changed by someone else")
+	// ErrOverQuota means that the platform refused the call because of its rate limit.
+	ErrOverQuota = errors.New("platform call quota exceeded")
+	// ErrUnavailable means that the platform did not answer; a change may have taken effect.
+	ErrUnavailable = errors.New("platform unavailable")
+	// ErrTooLarge means that the value exceeds MaxValueSize; nothing was changed.
+	ErrTooLarge = errors.New("value exceeds the platform limit of 1 MB")
+)
+
+// Store is the platform's object API. Another platform needs one new implementation.
+type Store interface {
+	// Get returns an object, or ErrNotFound.
+	Get(ctx context.Context, name string) (Object, error)
+	// List returns the objects whose names start with prefix and the store revision they reflect.
+	List(ctx context.Context, prefix string) ([]Object, uint64, error)
+	// Put stores value if the object still has the given version (0 creates it) and returns the
+	// new version. After ErrUnavailable the change may have taken effect.
+	Put(ctx context.Context, name string, version uint64, value []byte) (uint64, error)
+	// Watch waits for changes with the prefix after the given store revision. It returns the changed
+	// objects and the revision to continue from; the list may be empty when the wait ended.
+	Watch(ctx context.Context, prefix string, after uint64) ([]Object, uint64, error)
+	// VMs returns the platform's list of VMs.
+	VMs(ctx context.Context) ([]VM, error)
+}
--- /dev/null
+++ b/internal/ring/ring.go
@@ -0,0 +1,36 @@
+// Package ring provides the bounded queue that joins the goroutines of a daemon.
+package ring
+
+import "sync/atomic"
+
+// Ring is a bounded queue of values for one or more senders and receivers.
+// A sender never blocks: a full ring refuses the value and counts the refusal.
+type Ring[T any] struct {
+	ch      chan T
+	dropped atomic.Int64
+}
+
+// New returns a ring that holds at most size values.
+func New[T any](size int) *Ring[T] {
+	return &Ring[T]{ch: make(chan T, size)}
+}
+
+// Offer adds v and reports whether there was room.
+func (r *Ring[T]) Offer(v T) bool {
+	select {
+	case r.ch <- v:
+		return true
+	default:
+		r.dropped.Add(1)
+		return false
+	}
+}
+
+// C returns the channel to receive from.
+func (r *Ring[T]) C() <-chan T { return r.ch }
+
+// Len returns the number of values waiting.
+func (r *Ring[T]) Len() int { return len(r.ch) }
+
+// Dropped returns how many values were refused because the ring was full.
+func (r *Ring[T]) Dropped() int64 { return r.dropped.Load() }
--- /dev/null
+++ b/internal/session/position.go
@@ -0,0 +1,48 @@
+// Package session defines log positions and the sealed tokens by which a caller carries
+// the position of its last acknowledged write from one VM to another.
+package session
+
+import (
+	"cmp"
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// Position is a place in the log of a database group: a term and an offset that grows within
+// and across terms. The zero value precedes every write.
+type Position struct {
+	Term   uint64
+	Offset uint64
+}
+
+// Compare orders positions by term and then by offset.
+func (p Position) Compare(q Position) int {
+	if c := cmp.Compare(p.Term, q.Term); c != 0 {
+		return c
+	}
+	return cmp.Compare(p.Offset, q.Offset)
+}
+
+// Covers reports whether a log that ends at p contains the acknowledged position q.
+func (p Position) Covers(q Position) bool { return p.Compare(q) >= 0 }
+
+// String returns TERM/OFFSET, the form used by the group_position parameter.
+func (p Position) String() string { return fmt.Sprintf("%d/%d", p.Term, p.Offset) }
+
+// ParsePosition parses TERM/OFFSET.
+func ParsePosition(s string) (Position, error) {
+	term, offset, ok := strings.Cut(s, "/")
+	if !ok {
+		return Position{}, fmt.Errorf("position %q is not of the form TERM/OFFSET", s)
+	}
+	t, err := strconv.ParseUint(term, 10, 64)
+	if err != nil {
+		return Position{}, fmt.Errorf("position %q: term: %w", s, err)
+	}
+	o, err := strconv.ParseUint(offset, 10, 64)
+	if err != nil {
+		return Position{}, fmt.Errorf("position %q: offset: %w", s, err)
+	}
+	return Position{Term: t, Offset: o}, nil
+}
