--- /dev/null
+++ b/internal/proxy/record.go
@@ -0,0 +1,245 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"siskinrouter/internal/link"
+	"siskinrouter/internal/session"
+	"siskinrouter/internal/verdict"
+)
+
+// Values of the column state of group_request.
+const requestDone = "done"
+
+// recordError is the failure of a control statement that belongs to a request with an id. A refusal by a
+// former primary lets the request wait for the new one.
+func recordError(v verdict.Verdict, err error) *verdict.Error {
+	var refused *link.TargetError
+	state := verdict.StateConnectionFailure
+	if errors.As(err, &refused) && refused.SQLState == verdict.StateReadOnly {
+		state = verdict.StateReadOnly
+	}
+	return verdict.Errorf(v, state, "record the request id: %w", err)
+}
+
+// outcome is what a target recorded for a request id.
+type outcome struct {
+	done     bool
+	tag      string
+	position session.Position
+}
+
+// runRecorded serves the first batch of a transaction that has a request id. The id is recorded in the
+// target in the same transaction as the effect, so that a repeat is answered with the first outcome.
+func (c *callerSession) runRecorded(ctx context.Context, r *request) error {
+	id := c.requestID
+	if deadline, ok := ctx.Deadline(); ok {
+		c.lease.SetDeadline(deadline)
+	}
+	first, err := c.beginRecorded(id)
+	if err != nil {
+		c.dropLease()
+		return recordError(verdict.NotRun, err)
+	}
+	if first.done {
+		return c.replay(ctx, r, first)
+	}
+	if isBegin(r.batch.text()) {
+		c.recording = id
+		return c.answerBegin(r)
+	}
+	return c.runSingle(ctx, r, id)
+}
+
+func (c *callerSession) beginRecorded(id string) (outcome, error) {
+	if _, err := c.lease.Simple("BEGIN"); err != nil {
+		return outcome{}, err
+	}
+	res, err := c.lease.Simple(fmt.Sprintf("SELECT group_request('%s')", id))
+	if err != nil {
+		return outcome{}, err
+	}
+	o := outcome{done: res.Column("state") == requestDone, tag: res.Column("tag")}
+	if o.done {
+		o.position, err = session.ParsePosition(res.Column("term") + "/" + res.Column("position"))
+	}
+	return o, err
+}
+
+// answerBegin reports the transaction that beginRecorded opened.
+func (c *callerSession) answerBegin(r *request) error {
+	for _, it := range r.batch.items {
+		switch it.kind {
+		case kindParse:
+			c.send(&pgproto3.ParseComplete{})
+		case kindBind:
+			c.send(&pgproto3.BindComplete{})
+		case kindDescribe:
+			if it.stmt != nil {
+				c.send(&pgproto3.ParameterDescription{})
+			}
+			c.send(&pgproto3.NoData{})
+		case kindExecute:
+			c.send(&pgproto3.CommandComplete{CommandTag: []byte("BEGIN")})
+		case kindQuery:
+			c.send(&pgproto3.CommandComplete{CommandTag: []byte("BEGIN")})
+			c.ready('T')
+		case kindSync:
+			c.ready('T')
+		}
+	}
+	c.openStatus = 'T'
+	return c.flush()
+}
+
+// replay answers a repeated request with its first outcome, once a majority holds it.
+func (c *callerSession) replay(ctx context.Context, r *request, first outcome) error {
+	if _, err := c.lease.Simple("ROLLBACK"); err != nil {
+		c.dropLease()
+		return recordError(verdict.Ran, err)
+	}
+	c.releaseLease()
+	ctx, cancel := context.WithTimeout(ctx, c.srv.cfg.ConfirmTimeout)
+	defer cancel()
+	if err := c.confirmFirst(ctx, r, first); err != nil {
+		return err
+	}
+	c.srv.cfg.Policy.Explain(c.srv.cfg.Policy.NewID(), "repeat of a finished request answered with its first outcome",
+		"tag "+first.tag, "position "+first.position.String())
+	c.floor = maxPosition(c.floor, first.position)
+	if isBegin(r.batch.text()) || len(first.tag) == 0 {
+		e := verdict.Errorf(verdict.Ran, verdict.StateDuplicateRequest,
+			"a transaction with this request id has already committed at %v", first.position)
+		return c.refuseBatch(r.batch, e)
+	}
+	c.answerReplay(r, first)
+	return c.flush()
+}
+
+func (c *callerSession) answerReplay(r *request, first outcome) {
+	for _, it := range r.batch.items {
+		switch it.kind {
+		case kindParse:
+			c.send(&pgproto3.ParseComplete{})
+		case kindBind:
+			c.send(&pgproto3.BindComplete{})
+		case kindDescribe:
+			if it.stmt != nil {
+				c.send(&pgproto3.ParameterDescription{})
+			}
+			c.send(&pgproto3.NoData{})
+		case kindExecute, kindQuery:
+			c.send(&pgproto3.CommandComplete{CommandTag: []byte(first.tag)})
+		}
+		if it.kind == kindQuery || it.kind == kindSync {
+			c.send(&pgproto3.ParameterStatus{Name: paramSession, Value: c.sessionToken()})
+			c.ready('I')
+		}
+	}
+}
+
+// confirmFirst waits until a majority is known to hold the first outcome. A position of an earlier term
+// is confirmed by any majority whose floor reaches it under the current primary.
+func (c *callerSession) confirmFirst(ctx context.Context, r *request, first outcome) error {
+	g := r.access.Group
+	_, term, err := g.Floor(ctx, g.Demand())
+	if err == nil && term > first.position.Term {
+		return nil
+	}
+	return g.Confirm(ctx, first.position)
+}
+
+func maxPosition(a, b session.Position) session.Position {
+	if a.Compare(b) >= 0 {
+		return a
+	}
+	return b
+}
+
+// runSingle runs one batch inside the transaction that beginRecorded opened, records its outcome and commits.
+func (c *callerSession) runSingle(ctx context.Context, r *request, id string) error {
+	x := &relay{c: c, r: r, ctx: ctx, lease: c.lease}
+	if err := x.runInside(); err != nil {
+		c.dropLease()
+		c.out = c.out[:0]
+		return err
+	}
+	if x.status != 'T' {
+		return c.abortSingle(x)
+	}
+	res, err := c.commitRecorded(id, x.tag)
+	if err != nil {
+		c.dropLease()
+		c.out = c.out[:0]
+		return recordError(verdict.MayHaveRun, err)
+	}
+	x.status = 'I'
+	c.setFinalStatus('I')
+	x.position, x.wrote = res.Position, res.Wrote
+	if err := x.confirm(); err != nil {
+		c.dropLease()
+		c.out = c.out[:0]
+		return err
+	}
+	return c.complete(x)
+}
+
+// abortSingle rolls back after the target refused the statement; its error has been queued already.
+func (c *callerSession) abortSingle(x *relay) error {
+	if _, err := c.lease.Simple("ROLLBACK"); err != nil {
+		c.lease.Break()
+	}
+	x.status = 'I'
+	c.setFinalStatus('I')
+	return c.complete(x)
+}
+
+// setFinalStatus replaces the transaction status in the ReadyForQuery at the end of the output.
+func (c *callerSession) setFinalStatus(status byte) { c.out[len(c.out)-1] = status }
+
+func (c *callerSession) commitRecorded(id, tag string) (link.Result, error) {
+	if err := c.outcomeStatement(id, tag); err != nil {
+		return link.Result{}, err
+	}
+	return c.lease.Simple("COMMIT")
+}
+
+func (c *callerSession) outcomeStatement(id, tag string) error {
+	_, err := c.lease.Simple(fmt.Sprintf("SELECT group_outcome('%s', '%s')", id, tag))
+	return err
+}
+
+// recordOutcome records the outcome of the open transaction ahead of its COMMIT.
+func (c *callerSession) recordOutcome(ctx context.Context, tag string) error {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		deadline = time.Time{}
+	}
+	c.lease.SetDeadline(deadline)
+	if err := c.outcomeStatement(c.recording, tag); err != nil {
+		return recordError(verdict.NotRun, err)
+	}
+	return nil
+}
+
+// runInside exchanges a batch without confirming it, because the commit comes later.
+func (x *relay) runInside() error {
+	if err := x.sendAll(); err != nil {
+		return x.linkError(err)
+	}
+	if err := x.receiveAll(); err != nil {
+		return err
+	}
+	if x.written == nil {
+		return nil
+	}
+	if err := <-x.written; err != nil {
+		return x.linkError(err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/proxy/serve.go
@@ -0,0 +1,270 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"siskinrouter/internal/link"
+	"siskinrouter/internal/session"
+	"siskinrouter/internal/target"
+	"siskinrouter/internal/verdict"
+)
+
+// request is the state of one batch while it is served.
+type request struct {
+	batch   *batch
+	access  *Access
+	read    bool            // may be served by a replica
+	since   time.Duration   // start of the request
+	first   bool            // it starts a transaction
+	exclude map[string]bool // servers that failed it
+	attempt int
+	flushed bool // a part of the answer has been sent to the caller
+}
+
+// serve answers a batch. An error ends the session.
+func (c *callerSession) serve(ctx context.Context, b *batch) error {
+	if c.skipToSync {
+		return c.endSkip(b)
+	}
+	if b.fault != nil {
+		return c.refuseBatch(b, b.fault)
+	}
+	if b.local != nil {
+		return c.serveLocal(b)
+	}
+	if c.lease != nil {
+		return c.continueTransaction(ctx, b)
+	}
+	if len(b.items) == 1 && b.items[0].kind != kindQuery && !needsTarget(b) {
+		return c.answerEmpty(b)
+	}
+	return c.startTransaction(ctx, b)
+}
+
+// needsTarget reports whether any message of b must reach a target.
+func needsTarget(b *batch) bool {
+	for _, it := range b.items {
+		switch it.kind {
+		case kindSync, kindFlush, kindCloseStatement:
+		default:
+			return true
+		}
+	}
+	return false
+}
+
+func (c *callerSession) answerEmpty(b *batch) error {
+	for _, it := range b.items {
+		switch it.kind {
+		case kindCloseStatement:
+			c.send(&pgproto3.CloseComplete{})
+		case kindSync:
+			c.ready('I')
+		}
+	}
+	return c.flush()
+}
+
+// endSkip ends the series of messages that followed an error.
+func (c *callerSession) endSkip(b *batch) error {
+	if b.ends() {
+		c.skipToSync = false
+		c.ready(c.txStatus())
+	}
+	return c.flush()
+}
+
+// refuseBatch answers b with an error. Messages up to the next Sync are ignored, as the protocol asks.
+func (c *callerSession) refuseBatch(b *batch, e *verdict.Error) error {
+	c.refuse("ERROR", e)
+	if b.ends() {
+		c.ready(c.txStatus())
+	} else {
+		c.skipToSync = true
+	}
+	return c.flush()
+}
+
+// startTransaction serves the first batch of a transaction.
+func (c *callerSession) startTransaction(ctx context.Context, b *batch) error {
+	access, err := c.srv.cfg.Policy.Renew(c.currentAccess())
+	if err != nil {
+		return err
+	}
+	c.access.Store(access)
+	r := &request{batch: b, access: access, first: true, since: c.srv.cfg.Clock()}
+	r.read = access.Route.Read || c.readOnly
+	ctx, cancel := context.WithTimeout(ctx, c.timeout(access))
+	defer cancel()
+	if b.runs() {
+		if err := c.srv.cfg.Policy.Admit(ctx, access); err != nil {
+			return c.refuseBatch(b, asVerdict(err, verdict.NotRun, verdict.StateRateExceeded))
+		}
+		c.srv.cfg.Metrics.Requests.Inc(1)
+		c.srv.cfg.Policy.CountRequest()
+	}
+	err = c.attempts(ctx, r)
+	if b.runs() {
+		c.requestID = ""
+	}
+	return err
+}
+
+// attempts serves r, again on another server when the verdict and the retry budget allow it.
+func (c *callerSession) attempts(ctx context.Context, r *request) error {
+	for {
+		err := c.attempt(ctx, r)
+		if err == nil {
+			return nil
+		}
+		var fatal *callerGone
+		if errors.As(err, &fatal) {
+			return err
+		}
+		e := asVerdict(err, verdict.MayHaveRun, verdict.StateUnknownResolution)
+		if !c.mayRetry(ctx, r, e) {
+			return c.refuseBatch(r.batch, e)
+		}
+		c.srv.cfg.Metrics.Retries.Inc(1)
+		r.attempt++
+		pause(ctx, e)
+	}
+}
+
+// mayRetry reports whether r may be sent again after e. A write that the former primary refused waits for
+// the new one until its deadline; that adds no load, so it is not charged to the retry budget.
+func (c *callerSession) mayRetry(ctx context.Context, r *request, e *verdict.Error) bool {
+	if ctx.Err() != nil || r.flushed {
+		return false
+	}
+	if e.Verdict == verdict.NotRun && e.SQLState == verdict.StateReadOnly {
+		return true
+	}
+	// The target executes a request with an id at most once, however often it is sent.
+	repeatable := r.read || r.access.Route.Repeatable || c.requestID != ""
+	if e.Verdict != verdict.NotRun && !repeatable {
+		return false
+	}
+	return r.attempt < maxAttempts && retryable(e) && c.srv.cfg.Policy.AllowRetry()
+}
+
+const (
+	maxAttempts = 5
+	// primaryPause is the time between attempts while a group changes its primary.
+	primaryPause = 10 * time.Millisecond
+)
+
+// pause waits before another attempt when the view of the group has to catch up.
+func pause(ctx context.Context, e *verdict.Error) {
+	if e.SQLState != verdict.StateReadOnly {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(primaryPause):
+	}
+}
+
+// retryable reports whether another attempt can end differently.
+func retryable(e *verdict.Error) bool {
+	return e.SQLState == verdict.StateConnectionFailure || e.SQLState == verdict.StateUnknownResolution
+}
+
+// attempt gets a link and exchanges the batch with it.
+func (c *callerSession) attempt(ctx context.Context, r *request) error {
+	lease, err := c.acquire(ctx, r)
+	if err != nil {
+		return err
+	}
+	c.setLease(lease)
+	if c.requestID != "" && lease.Primary && r.batch.runs() {
+		return c.runRecorded(ctx, r)
+	}
+	return c.exchange(ctx, r)
+}
+
+func (c *callerSession) acquire(ctx context.Context, r *request) (*target.Lease, error) {
+	w := link.Waiter{Workspace: r.access.Workspace.Name, Weight: r.access.Workspace.Weight}
+	w.Deadline, _ = ctx.Deadline()
+	if !r.read {
+		return r.access.Group.AcquirePrimary(ctx, w)
+	}
+	floor, err := c.readFloor(ctx, r)
+	if err != nil {
+		return nil, err
+	}
+	return r.access.Group.AcquireRead(ctx, w, target.Read{
+		Floor: floor, MaxAge: r.access.Route.MaxAge, Exclude: r.exclude,
+	})
+}
+
+// readFloor returns the position that a read must see: the caller's own if it carries one, otherwise
+// that of the last write acknowledged in the group before the read arrived.
+func (c *callerSession) readFloor(ctx context.Context, r *request) (session.Position, error) {
+	if c.carriesToken {
+		return c.floor, nil
+	}
+	since := r.access.Group.Demand()
+	floor, _, err := r.access.Group.Floor(ctx, since)
+	return floor, err
+}
+
+// continueTransaction serves a batch inside an open transaction.
+func (c *callerSession) continueTransaction(ctx context.Context, b *batch) error {
+	a := c.currentAccess()
+	ctx, cancel := context.WithTimeout(ctx, c.timeout(a))
+	defer cancel()
+	r := &request{batch: b, access: a, since: c.srv.cfg.Clock()}
+	r.read = a.Route.Read || c.readOnly
+	if c.recording != "" && isCommit(b.text()) {
+		if err := c.recordOutcome(ctx, "COMMIT"); err != nil {
+			c.dropLease()
+			return c.refuseBatch(b, asVerdict(err, verdict.NotRun, verdict.StateConnectionFailure))
+		}
+	}
+	err := c.exchange(ctx, r)
+	var fatal *callerGone
+	if err == nil || errors.As(err, &fatal) {
+		return err
+	}
+	return c.refuseBatch(b, asVerdict(err, verdict.MayHaveRun, verdict.StateUnknownResolution))
+}
+
+func (c *callerSession) timeout(a *Access) time.Duration {
+	if a.Route.Timeout > 0 {
+		return a.Route.Timeout
+	}
+	return c.srv.cfg.RequestTimeout
+}
+
+func (c *callerSession) token(a *Access) session.Token {
+	return session.Token{Workspace: a.Workspace.Name, Group: a.Group.Name(), Position: c.floor}
+}
+
+// isBegin and isCommit recognise transaction statements by their first word. They only decide when a
+// request id is recorded; a statement that they miss is refused or recorded per statement.
+func isBegin(text string) bool { return hasWord(text, "begin") || hasWord(text, "start") }
+
+func isCommit(text string) bool { return hasWord(text, "commit") || hasWord(text, "end") }
+
+func hasWord(text, word string) bool {
+	text = strings.TrimSpace(text)
+	if len(text) < len(word) || !strings.EqualFold(text[:len(word)], word) {
+		return false
+	}
+	return len(text) == len(word) || strings.ContainsRune(" ;\t\n", rune(text[len(word)]))
+}
+
+// countRead counts a read transaction by the role of the server that served it.
+func (c *callerSession) countRead(primary bool) {
+	if primary {
+		c.srv.cfg.Metrics.PrimaryReads.Inc(1)
+	} else {
+		c.srv.cfg.Metrics.ReplicaReads.Inc(1)
+	}
+}
