--- /dev/null
+++ b/internal/contract/parse.go
@@ -0,0 +1,353 @@
+package contract
+
+import (
+	"fmt"
+	"time"
+
+	"siskinrouter/internal/tomltext"
+)
+
+// Fault is something wrong in an operators' text, with its line and with what would be correct.
+type Fault = tomltext.Fault
+
+// Limits of the values of a text.
+const (
+	MaxRate        = 1e6 // requests per second of a workspace
+	MaxBurst       = 1_000_000
+	MaxWeight      = 100
+	MaxSlots       = 10_000
+	MaxConnections = 100_000
+	MaxServers     = 9 // of one group; a larger majority only delays writes
+
+	MinAge     = time.Millisecond
+	MaxAge     = 24 * time.Hour
+	MinTimeout = time.Millisecond
+	MaxTimeout = time.Hour
+)
+
+// Defaults of keys that a text may leave out.
+const (
+	DefaultWeight  = 1
+	DefaultTimeout = 10 * time.Second // of a route
+)
+
+// Parse reads and validates an operators' text. It returns either a contract or every fault found.
+func Parse(text []byte) (*Contract, []Fault) {
+	doc, ok := tomltext.Read(text)
+	if !ok {
+		return nil, doc.Faults()
+	}
+	p := newParser(doc)
+	p.parse()
+	if faults := doc.Faults(); len(faults) > 0 {
+		return nil, faults
+	}
+	return p.contract, nil
+}
+
+// parser fills a contract. Things are checked in the order in which they refer to each other:
+// domains, services with groups, workspaces, and at last the workspaces of open routes.
+type parser struct {
+	doc        *tomltext.Document
+	contract   *Contract
+	domains    *nameSet
+	services   *nameSet
+	groups     *nameSet // of all services, because platform objects are named by group alone
+	servers    *nameSet // of all groups
+	addresses  *nameSet
+	workspaces *nameSet
+	open       []openRoute
+}
+
+// openRoute is a route without a key, whose workspace is checked once all workspaces are known.
+type openRoute struct {
+	table   *tomltext.Table
+	service string
+	route   Route
+}
+
+func newParser(doc *tomltext.Document) *parser {
+	return &parser{
+		doc:        doc,
+		contract:   &Contract{Services: map[string]Service{}, Workspaces: map[string]Workspace{}},
+		domains:    newNameSet("failure domain"),
+		services:   newNameSet("service"),
+		groups:     newNameSet("group"),
+		servers:    newNameSet("server"),
+		addresses:  newNameSet("address"),
+		workspaces: newNameSet("workspace"),
+	}
+}
+
+func (p *parser) parse() {
+	root := p.doc.Root()
+	domains := root.Tables("domain")
+	services := root.Tables("service")
+	workspaces := root.Tables("workspace")
+	p.atLeastOne(root, "domain", domains, `name = "bne"`)
+	p.atLeastOne(root, "service", services, `name = "swap-ledger"`)
+	p.atLeastOne(root, "workspace", workspaces, `name = "cairns"`)
+	for _, t := range domains {
+		p.domain(t)
+	}
+	for _, t := range services {
+		p.service(t)
+	}
+	for _, t := range workspaces {
+		p.workspace(t)
+	}
+	for _, o := range p.open {
+		p.openRoute(o)
+	}
+	root.Close()
+}
+
+// atLeastOne records a fault if t has no table of the given key.
+func (p *parser) atLeastOne(t *tomltext.Table, key string, tables []*tomltext.Table, example string) {
+	if len(tables) == 0 && !(t.Has(key) && !t.Good(key)) {
+		t.Fault(key, fmt.Sprintf("add a table [[%s]] with %s", t.Path(key), example), "there is no %s", key)
+	}
+}
+
+func (p *parser) domain(t *tomltext.Table) {
+	t.Require(`name = "bne"`)
+	name := t.Name("name")
+	p.domains.add(t, "name", name)
+	p.contract.Domains = append(p.contract.Domains, name)
+	t.Close()
+}
+
+func (p *parser) service(t *tomltext.Table) {
+	t.Require(`name = "swap-ledger"`)
+	s := Service{
+		Name:       t.Name("name"),
+		WhenCutOff: cutOff(t, CutOffServe),
+		Groups:     map[string]Group{},
+		Routes:     map[string]Route{},
+	}
+	p.services.add(t, "name", s.Name)
+	groups := t.Tables("group")
+	p.atLeastOne(t, "group", groups, `name = "swap-1"`)
+	for _, gt := range groups {
+		g := p.group(gt, s.Name)
+		s.Groups[g.Name] = g
+	}
+	routes := t.Tables("route")
+	p.atLeastOne(t, "route", routes, `name = "swaps"`)
+	names := newNameSet("route")
+	for _, rt := range routes {
+		r := p.route(rt, s)
+		names.add(rt, "name", r.Name)
+		s.Routes[r.Name] = r
+	}
+	t.Close()
+	if _, ok := p.contract.Services[s.Name]; !ok {
+		p.contract.Services[s.Name] = s
+	}
+}
+
+func (p *parser) group(t *tomltext.Table, service string) Group {
+	t.Require(`name = "swap-1"`)
+	g := Group{Name: t.Name("name"), Service: service}
+	p.groups.add(t, "name", g.Name)
+	servers := t.Tables("server")
+	for _, st := range servers {
+		g.Servers = append(g.Servers, p.server(st))
+	}
+	t.Close()
+	if t.Has("server") && !t.Good("server") {
+		return g
+	}
+	p.groupSize(t, g)
+	p.groupSpread(t, g)
+	return g
+}
+
+// groupSize checks that a majority of the group is well defined and survives the loss of a server.
+func (p *parser) groupSize(t *tomltext.Table, g Group) {
+	n := len(g.Servers)
+	switch {
+	case n == 0:
+		t.Fault("server", "list 3 servers in 3 failure domains", "group %q has no servers", g.Name)
+	case n > MaxServers:
+		t.Fault("server", fmt.Sprintf("use at most %d", MaxServers), "group %q has %d servers", g.Name, n)
+	case n%2 == 0:
+		remedy := fmt.Sprintf("use %d or %d servers; an even number tolerates no more failures than one server less", max(n-1, 3), n+1)
+		t.Fault("server", remedy, "group %q has an even number of servers (%d)", g.Name, n)
+	}
+}
+
+// groupSpread checks that the group keeps a majority when one failure domain fails.
+func (p *parser) groupSpread(t *tomltext.Table, g Group) {
+	perDomain := map[string]int{}
+	for _, s := range g.Servers {
+		perDomain[s.Domain]++
+	}
+	majority := len(g.Servers)/2 + 1
+	for _, s := range g.Servers {
+		n := perDomain[s.Domain]
+		if s.Domain == "" || n < majority {
+			continue
+		}
+		perDomain[s.Domain] = 0
+		remedy := fmt.Sprintf("place at most %d of its servers in %q, the others in other failure domains", (len(g.Servers)-1)/2, s.Domain)
+		if len(g.Servers) == 1 {
+			remedy = "list 3 servers in 3 failure domains"
+		}
+		t.Fault("server", remedy, "group %q has a majority of its servers (%d of %d) in failure domain %q", g.Name, n, len(g.Servers), s.Domain)
+	}
+}
+
+func (p *parser) server(t *tomltext.Table) Server {
+	t.Require(`name = "swap-1-bne"`, `address = "10.0.0.1:5432"`, `domain = "bne"`, `slots = 3`, `connections = 20`)
+	s := Server{
+		Name:        t.Name("name"),
+		Address:     t.Address("address"),
+		Domain:      t.String("domain"),
+		Slots:       t.Int("slots", 1, 1, MaxSlots),
+		Connections: t.Int("connections", 1, 1, MaxConnections),
+	}
+	p.servers.add(t, "name", s.Name)
+	p.addresses.add(t, "address", s.Address)
+	p.domains.refer(t, "domain", s.Domain)
+	if t.Good("slots") && t.Good("connections") && s.Slots > s.Connections {
+		remedy := fmt.Sprintf("use at most %d slots, because each statement that runs needs a connection", s.Connections)
+		t.Fault("slots", remedy, "server %q has more slots (%d) than connections (%d)", s.Name, s.Slots, s.Connections)
+	}
+	t.Close()
+	return s
+}
+
+func (p *parser) route(t *tomltext.Table, s Service) Route {
+	if !t.Has("name") {
+		t.Fault("name", `add name = "swaps", or name = "" for callers that name no route`, `[[service.route]] has no key "name"`)
+	}
+	t.Require(`access = "read" or access = "write"`)
+	r := Route{
+		Name:   t.String("name"),
+		Read:   t.Choice("access", "write", "read") == "read",
+		MaxAge: t.Duration("max_age", 0, MinAge, MaxAge),
+	}
+	if r.Name != "" {
+		t.CheckName("name", r.Name)
+	}
+	r.Repeatable = t.Bool("repeatable", r.Read)
+	open := t.Bool("open", false)
+	workspace := t.String("workspace")
+	r.WhenCutOff = cutOff(t, s.WhenCutOff)
+	r.Timeout = t.Duration("timeout", DefaultTimeout, MinTimeout, MaxTimeout)
+	t.Close()
+	switch {
+	case open && !t.Has("workspace"):
+		t.Fault("open", `add workspace = "NAME" to charge its requests to, or remove open`, "the route is open but has no workspace")
+	case !open && t.Has("workspace"):
+		t.Fault("workspace", "add open = true or remove workspace; callers with a key are charged to their own workspace", "the route has a workspace but is not open")
+	case open:
+		r.Open = workspace
+		p.open = append(p.open, openRoute{table: t, service: s.Name, route: r})
+	}
+	return r
+}
+
+// openRoute checks that the workspace of an open route exists and can use the service.
+func (p *parser) openRoute(o openRoute) {
+	if !o.table.Good("workspace") {
+		return
+	}
+	if !p.workspaces.refer(o.table, "workspace", o.route.Open) {
+		return
+	}
+	if _, ok := p.contract.Workspaces[o.route.Open].Groups[o.service]; !ok {
+		remedy := fmt.Sprintf("add a group of service %q to the workspace", o.service)
+		o.table.Fault("workspace", remedy, "workspace %q of the open route has no group of service %q", o.route.Open, o.service)
+	}
+}
+
+func (p *parser) workspace(t *tomltext.Table) {
+	t.Require(`name = "cairns"`, `rate = "200/s"`, `burst = 100`, `groups = { swap-ledger = "swap-1" }`)
+	w := Workspace{
+		Name:   t.Name("name"),
+		Rate:   t.Rate("rate", MaxRate),
+		Burst:  float64(t.Int("burst", 1, 1, MaxBurst)),
+		Weight: t.Int("weight", DefaultWeight, 1, MaxWeight),
+		Groups: map[string]string{},
+	}
+	groups := t.Table("groups")
+	if t.Good("groups") && len(groups.Keys()) == 0 {
+		t.Fault("groups", `write groups = { SERVICE = "GROUP" }`, "workspace %q has no group", w.Name)
+	}
+	for _, service := range groups.Keys() {
+		w.Groups[service] = groups.Named(service)
+		p.workspaceGroup(groups, service, w.Groups[service])
+	}
+	t.Close()
+	p.workspaces.add(t, "name", w.Name)
+	if _, ok := p.contract.Workspaces[w.Name]; !ok {
+		p.contract.Workspaces[w.Name] = w
+	}
+}
+
+// workspaceGroup checks the group that a workspace uses of a service.
+func (p *parser) workspaceGroup(t *tomltext.Table, service, group string) {
+	if !t.Good(service) || !p.services.refer(t, service, service) {
+		return
+	}
+	s := p.contract.Services[service]
+	if _, ok := s.Groups[group]; ok {
+		return
+	}
+	names := make([]string, 0, len(s.Groups))
+	for name := range s.Groups {
+		names = append(names, name)
+	}
+	t.Fault(service, tomltext.DidYouMean(group, names), "service %q has no group %q", service, group)
+}
+
+func cutOff(t *tomltext.Table, byDefault CutOff) CutOff {
+	choices := []string{string(CutOffServe), string(CutOffReadOnly), string(CutOffRefuse)}
+	value := t.Choice("when_cut_off", choices...)
+	if !t.Good("when_cut_off") {
+		return byDefault
+	}
+	return CutOff(value)
+}
+
+// nameSet holds the names of one kind and finds duplicates and unknown names.
+type nameSet struct {
+	kind  string
+	lines map[string]int // line of the first occurrence
+}
+
+func newNameSet(kind string) *nameSet {
+	return &nameSet{kind: kind, lines: map[string]int{}}
+}
+
+// add records a name and reports it if it is there already. An invalid name is recorded, too, so that
+// references to it are not reported as well.
+func (s *nameSet) add(t *tomltext.Table, key, name string) {
+	if !t.Has(key) || name == "" && !t.Good(key) {
+		return
+	}
+	if first, ok := s.lines[name]; ok {
+		remedy := fmt.Sprintf("use another one; the first is on line %d", first)
+		t.Fault(key, remedy, "%s %q appears twice", s.kind, name)
+		return
+	}
+	s.lines[name] = t.KeyLine(key)
+}
+
+// refer reports a name that is not in the set.
+func (s *nameSet) refer(t *tomltext.Table, key, name string) bool {
+	if !t.Good(key) {
+		return false
+	}
+	if _, ok := s.lines[name]; ok {
+		return true
+	}
+	names := make([]string, 0, len(s.lines))
+	for n := range s.lines {
+		names = append(names, n)
+	}
+	t.Fault(key, tomltext.DidYouMean(name, names), "unknown %s %q", s.kind, name)
+	return false
+}
