--- /dev/null
+++ b/internal/contract/faults_test.go
@@ -0,0 +1,255 @@
+package contract
+
+import (
+	"fmt"
+	"reflect"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// valid is the smallest text with two of everything that can be duplicated.
+const valid = `
+[[domain]]
+name = "bne"
+[[domain]]
+name = "tsv"
+[[domain]]
+name = "cns"
+
+[[service]]
+name = "ledger"
+[[service.group]]
+name = "g-1"
+server = [
+  { name = "a", address = "127.0.0.1:1", domain = "bne", slots = 3, connections = 20 },
+  { name = "b", address = "127.0.0.1:2", domain = "tsv", slots = 3, connections = 20 },
+  { name = "c", address = "127.0.0.1:3", domain = "cns", slots = 3, connections = 20 },
+]
+[[service.route]]
+name = "swaps"
+access = "write"
+[[service.route]]
+name = "lookup"
+access = "read"
+max_age = "1s"
+
+[[workspace]]
+name = "one"
+rate = "100/s"
+burst = 10
+weight = 2
+groups = { ledger = "g-1" }
+[[workspace]]
+name = "two"
+rate = "6/min"
+burst = 1
+groups = { ledger = "g-1" }
+`
+
+// mark stands on the lines of a text that must have a fault, once for each fault.
+const mark = "#F"
+
+// faultCases replace a part of the valid text. Each problem must be reported on a marked line.
+var faultCases = []struct {
+	name, old, new string
+	problems       []string
+}{
+	{"no TOML", `access = "write"`, `access = #F`, []string{"not valid TOML"}},
+	{"unfinished string", `access = "write"`, `access = "write #F`, []string{"not valid TOML"}},
+	{"bad number", `burst = 10`, `burst = 1__0 #F`, []string{"not valid TOML"}},
+	{"duplicate key", `burst = 10`, "burst = 10\nburst = 20 #F", []string{`"burst" appears twice`}},
+	{"two duplicate keys", `burst = 10`, "burst = 10\nburst = 20 #F\nburst = 30 #F",
+		[]string{`"burst" appears twice`, `"burst" appears twice`}},
+	{"unknown key", `weight = 2`, `wieght = 2 #F`, []string{`unknown key "wieght"`}},
+	{"unknown table", `[[domain]]`, "[[workspaces]] #F\nname = \"x\"\n[[domain]]", []string{`unknown key "workspaces"`}},
+	{"key of another table", `max_age = "1s"`, `weight = 3 #F`, []string{`unknown key "weight" in [service.route]`}},
+	{"table instead of array", "[[service.group]]", "[service.group] #F", []string{"not an array of tables"}},
+	{"array of numbers", "server = [", "server = [ 5, #F", []string{"contains an integer"}},
+	{"duration without unit", `max_age = "1s"`, `max_age = 1 #F`, []string{`"max_age" is an integer`}},
+	{"duration without unit in a string", `max_age = "1s"`, `max_age = "1" #F`, []string{"not a duration"}},
+	{"duration with an unknown unit", `max_age = "1s"`, `max_age = "1 week" #F`, []string{"not a duration"}},
+	{"zero duration", `max_age = "1s"`, `max_age = "0s" #F`, []string{"out of range"}},
+	{"negative duration", `max_age = "1s"`, `max_age = "-1s" #F`, []string{"out of range"}},
+	{"zero timeout", `max_age = "1s"`, `timeout = "0s" #F`, []string{"out of range"}},
+	{"rate without unit", `"100/s"`, `100 #F`, []string{`"rate" is an integer`}},
+	{"rate without unit in a string", `"100/s"`, `"100" #F`, []string{"not a rate"}},
+	{"rate with an unknown unit", `"100/s"`, `"100/week" #F`, []string{"not a rate"}},
+	{"rate without number", `"100/s"`, `"/s" #F`, []string{"not a rate"}},
+	{"zero rate", `"100/s"`, `"0/s" #F`, []string{"out of range"}},
+	{"negative rate", `"100/s"`, `"-1/s" #F`, []string{"out of range"}},
+	{"rate that is no number", `"100/s"`, `"nan/s" #F`, []string{"out of range"}},
+	{"infinite rate", `"100/s"`, `"inf/s" #F`, []string{"out of range"}},
+	{"table closed by an inline table", `groups = { ledger = "g-1" }`, "groups = { ledger = \"g-1\" }\n[workspace.groups] #F\nother = \"g\"", []string{`"groups" appears twice`}},
+	{"key below a value", `weight = 2`, "weight.x = 2 #F", []string{`"weight" is a table`}},
+	{"inline table extended", `groups = { ledger = "g-1" }`, "groups = { ledger = \"g-1\" }\ngroups.other = \"g-1\" #F", []string{`"groups" appears twice`}},
+	{"table opened after dotted keys", "[[workspace]]\nname = \"two\"", "a.b = 1 #F\n[workspace.a] #F\n[[workspace]]\nname = \"two\"",
+		[]string{`"a" appears twice`, `unknown key "a"`}},
+	{"zero burst", `burst = 10`, `burst = 0 #F`, []string{"out of range"}},
+	{"negative burst", `burst = 10`, `burst = -1 #F`, []string{"out of range"}},
+	{"burst with a fraction", `burst = 10`, `burst = 1.5 #F`, []string{"number with a fraction"}},
+	{"huge burst", `burst = 10`, `burst = 9223372036854775807 #F`, []string{"out of range"}},
+	{"zero weight", `weight = 2`, `weight = 0 #F`, []string{"out of range"}},
+	{"weight out of range", `weight = 2`, `weight = 101 #F`, []string{"out of range"}},
+	{"zero slots", `"bne", slots = 3, connections = 20 },`, `"bne", slots = 0, connections = 20 }, #F`,
+		[]string{"slots = 0 is out of range"}},
+	{"zero connections", `"bne", slots = 3, connections = 20 },`, `"bne", slots = 3, connections = 0 }, #F`,
+		[]string{"connections = 0 is out of range"}},
+	{"more slots than connections", `"bne", slots = 3, connections = 20 },`, `"bne", slots = 21, connections = 20 }, #F`,
+		[]string{"more slots (21) than connections (20)"}},
+	{"host name", `"127.0.0.1:1"`, `"db.example:1"`, []string{"not IP:port"}},
+	{"address without port", `"127.0.0.1:1"`, `"127.0.0.1"`, []string{"not IP:port"}},
+	{"port 0", `"127.0.0.1:1"`, `"127.0.0.1:0"`, []string{"port 0"}},
+	{"port out of range", `"127.0.0.1:1"`, `"127.0.0.1:65536"`, []string{"not IP:port"}},
+	{"unspecified address", `"127.0.0.1:1"`, `"0.0.0.0:1"`, []string{"not an address that can be reached"}},
+	{"duplicate address", `"127.0.0.1:1"`, `"127.0.0.1:2"`, []string{`address "127.0.0.1:2" appears twice`}},
+	{"duplicate address in another form", `"127.0.0.1:1"`, `"[::ffff:127.0.0.1]:2"`, []string{`address "127.0.0.1:2" appears twice`}},
+	{"duplicate domain", `name = "tsv"`, "name = \"tsv\"\n[[domain]]\nname = \"tsv\" #F", []string{`failure domain "tsv" appears twice`}},
+	{"duplicate group", "[[service.route]]\nname = \"swaps\"", "[[service.group]]\nname = \"g-1\" #F\nserver = [] #F\n[[service.route]]\nname = \"swaps\"",
+		[]string{`group "g-1" appears twice`, "has no servers"}},
+	{"duplicate server", `name = "b", address`, `name = "a", address`, []string{`server "a" appears twice`}},
+	{"duplicate route", `name = "lookup"`, `name = "swaps" #F`, []string{`route "swaps" appears twice`}},
+	{"duplicate workspace", `name = "two"`, `name = "one" #F`, []string{`workspace "one" appears twice`}},
+	{"duplicate service", "[[workspace]]\nname = \"one\"", "[[service]] #F #F\nname = \"ledger\" #F\n[[workspace]]\nname = \"one\"",
+		[]string{`service "ledger" appears twice`, "there is no group", "there is no route"}},
+	{"unknown domain", `domain = "bne", slots = 3, connections = 20 },`, `domain = "bme", slots = 3, connections = 20 }, #F`,
+		[]string{`unknown failure domain "bme"`}},
+	{"unknown group", "burst = 1\ngroups = { ledger = \"g-1\" }", "burst = 1\ngroups = { ledger = \"g-9\" } #F",
+		[]string{`service "ledger" has no group "g-9"`}},
+	{"unknown service", "burst = 1\ngroups = { ledger = \"g-1\" }", "burst = 1\ngroups = { legder = \"g-1\" } #F",
+		[]string{`unknown service "legder"`}},
+	{"group that is no string", "burst = 1\ngroups = { ledger = \"g-1\" }", "burst = 1\ngroups = { ledger = 1 } #F",
+		[]string{`"ledger" is an integer`}},
+	{"workspace without group", "burst = 1\ngroups = { ledger = \"g-1\" }", "burst = 1\ngroups = {} #F",
+		[]string{`workspace "two" has no group`}},
+	{"even number of servers", "server = [", "server = [ #F\n{ name = \"d\", address = \"127.0.0.1:4\", domain = \"bne\", slots = 3, connections = 20 },",
+		[]string{"even number of servers (4)"}},
+	{"majority in one domain", `domain = "tsv", slots`, `domain = "bne", slots`,
+		[]string{`majority of its servers (2 of 3) in failure domain "bne"`}},
+	{"no servers", "server = [", "server = [] #F\nold = [ #F", []string{"has no servers", `unknown key "old"`}},
+	{"open route without workspace", `max_age = "1s"`, `open = true #F`, []string{"open but has no workspace"}},
+	{"workspace of a route that is not open", `max_age = "1s"`, `workspace = "one" #F`, []string{"not open"}},
+	{"open route of an unknown workspace", `max_age = "1s"`, "open = true\nworkspace = \"three\" #F", []string{`unknown workspace "three"`}},
+	{"open that is no boolean", `max_age = "1s"`, `open = "yes" #F`, []string{`"open" is a string`}},
+	{"unknown access", `access = "read"`, `access = "reads" #F`, []string{`"reads" is not a value of "access"`}},
+	{"unknown when_cut_off", `max_age = "1s"`, `when_cut_off = "stop" #F`, []string{`"stop" is not a value`}},
+	{"no access", "[[service.route]]\nname = \"lookup\"\naccess = \"read\"", "[[service.route]] #F\nname = \"lookup\"", []string{`no key "access"`}},
+	{"no route name", "[[service.route]]\nname = \"lookup\"", "[[service.route]] #F", []string{`no key "name"`}},
+	{"name with a dot", `name = "lookup"`, `name = "look.up" #F`, []string{`"look.up" is not a valid name`}},
+	{"name with a slash", `name = "lookup"`, `name = "look/up" #F`, []string{`"look/up" is not a valid name`}},
+	{"empty name", `name = "two"`, `name = "" #F`, []string{`"" is not a valid name`}},
+	{"long name", `name = "two"`, `name = "` + strings.Repeat("x", 64) + `" #F`, []string{"is not a valid name"}},
+	{"workspace without keys", "[[workspace]]\nname = \"two\"\nrate = \"6/min\"\nburst = 1\ngroups = { ledger = \"g-1\" }", "[[workspace]] #F #F #F #F",
+		[]string{`no key "name"`, `no key "rate"`, `no key "burst"`, `no key "groups"`}},
+	{"several unrelated faults", "[[workspace]]\nname = \"two\"",
+		"[[domain]] #F\nnane = \"x\" #F\n[[workspace]] #F #F\nname = \"three\"\nrate = 5 #F\n[[workspace]]\nweight = 0 #F\nname = \"two\"",
+		[]string{"out of range", `no key "name"`, `unknown key "nane"`, `no key "burst"`, `no key "groups"`, `"rate" is an integer`}},
+}
+
+// Guards against a fault that is missed, reported on another line, or reported together with faults that
+// are only a consequence of it.
+func TestEachFaultIsReportedOnItsLine(t *testing.T) {
+	for _, c := range faultCases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			is.True(strings.Contains(valid, c.old)) // the case replaces a part of the valid text
+			text := strings.Replace(valid, c.old, c.new, 1)
+			if !strings.Contains(c.new, mark) {
+				text = markLine(text, c)
+			}
+			got, faults := Parse([]byte(text))
+			is.True(got == nil)
+			wantMarks(t, text, faults)
+			for _, problem := range c.problems {
+				if !reported(faults, problem) {
+					t.Errorf("no fault contains %q: %v", problem, faults)
+				}
+			}
+		})
+	}
+}
+
+// markLine marks the place of a fault where the replaced part ends inside of a line.
+func markLine(text string, c struct {
+	name, old, new string
+	problems       []string
+}) string {
+	lines := strings.Split(text, "\n")
+	at := strings.Count(valid[:strings.Index(valid, c.old)], "\n")
+	if c.name == "duplicate address" || c.name == "duplicate address in another form" {
+		at++ // the second occurrence is the fault
+	}
+	if c.name == "majority in one domain" {
+		at = strings.Count(valid[:strings.Index(valid, "server = [")], "\n")
+	}
+	lines[at] += " " + mark
+	return strings.Join(lines, "\n")
+}
+
+// wantMarks fails the test unless each line has as many faults as marks.
+func wantMarks(t *testing.T, text string, faults []Fault) {
+	t.Helper()
+	var want, got []int
+	for i, line := range strings.Split(text, "\n") {
+		for range strings.Count(line, mark) {
+			want = append(want, i+1)
+		}
+	}
+	for _, f := range faults {
+		got = append(got, f.Line)
+		if f.Problem == "" || f.Remedy == "" {
+			t.Errorf("incomplete fault %+v", f)
+		}
+	}
+	if !reflect.DeepEqual(want, got) {
+		t.Errorf("faults on lines %v, want %v:\n%v", got, want, list(faults))
+	}
+}
+
+func reported(faults []Fault, problem string) bool {
+	return strings.Contains(list(faults), problem)
+}
+
+func list(faults []Fault) string {
+	var b strings.Builder
+	for _, f := range faults {
+		fmt.Fprintln(&b, f)
+	}
+	return b.String()
+}
+
+// Guards against faults in the text on which all cases are based.
+func TestValidText(t *testing.T) {
+	is := is.New(t)
+	c, faults := Parse([]byte(valid))
+	is.Equal(faults, nil)
+	is.Equal(c.Workspaces["two"].Rate, 0.1)
+	is.Equal(c.Workspaces["two"].Weight, DefaultWeight)
+	is.Equal(c.Services["ledger"].Routes["swaps"], Route{Name: "swaps", WhenCutOff: CutOffServe, Timeout: DefaultTimeout})
+}
+
+// Guards against an empty text that is accepted and would stop the service.
+func TestEmptyText(t *testing.T) {
+	is := is.New(t)
+	c, faults := Parse(nil)
+	is.True(c == nil)
+	is.Equal(len(faults), 3)
+	is.Equal(faults[0].Line, 1)
+}
+
+// Guards against suggestions that do not help.
+func TestSuggestions(t *testing.T) {
+	is := is.New(t)
+	_, faults := Parse([]byte(strings.Replace(valid, "max_age", "maxage", 1)))
+	is.Equal(list(faults), `24: unknown key "maxage" in [service.route]; did you mean "max_age"?`+"\n")
+	_, faults = Parse([]byte(strings.Replace(valid, `domain = "bne"`, `domain = "bme"`, 1)))
+	is.Equal(list(faults), `14: unknown failure domain "bme"; did you mean "bne"?`+"\n")
+}
+
+// Guards against the tail of the platform's limit: an apply of a larger text would fail.
+func TestTextAboveThePlatformLimit(t *testing.T) {
+	is := is.New(t)
+	_, faults := Parse([]byte(valid + strings.Repeat("#\n", 1<<19)))
+	is.Equal(len(faults), 1)
+}
--- /dev/null
+++ b/internal/contract/fuzz_test.go
@@ -0,0 +1,39 @@
+package contract
+
+import (
+	"reflect"
+	"strings"
+	"testing"
+)
+
+// Guards against texts that stop an operator's check or a daemon: Parse must not panic, a text is either
+// accepted or has faults on its lines, and reading it again gives the same result.
+func FuzzParse(f *testing.F) {
+	f.Add(valid)
+	f.Add("")
+	for _, c := range faultCases {
+		f.Add(strings.Replace(valid, c.old, c.new, 1))
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		got, faults := Parse([]byte(text))
+		if (got == nil) != (len(faults) > 0) {
+			t.Fatalf("contract %v with faults %v", got, faults)
+		}
+		lines := max(1, strings.Count(strings.TrimSuffix(text, "\n"), "\n")+1)
+		for i, fault := range faults {
+			if fault.Line < 1 || fault.Line > lines || fault.Problem == "" || fault.Remedy == "" {
+				t.Errorf("bad fault %+v in a text of %d lines", fault, lines)
+			}
+			if i > 0 && faults[i-1].Line > fault.Line {
+				t.Errorf("faults are not in the order of the text: %v", faults)
+			}
+		}
+		again, faultsAgain := Parse([]byte(text))
+		if !reflect.DeepEqual(got, again) || !reflect.DeepEqual(faults, faultsAgain) {
+			t.Errorf("second reading differs: %v", Diff(got, again))
+		}
+		if diff := Diff(got, again); len(diff) > 0 {
+			t.Errorf("difference of equal contracts: %v", diff)
+		}
+	})
+}
--- a/internal/contract/parse.go
+++ b/internal/contract/parse.go
@@ -293,8 +293,8 @@
 		return
 	}
 	s := p.contract.Services[service]
-	if _, ok := s.Groups[group]; ok {
-		return
+	if _, ok := s.Groups[group]; ok || len(s.Groups) == 0 {
+		return // a service without groups is reported itself
 	}
 	names := make([]string, 0, len(s.Groups))
 	for name := range s.Groups {
--- a/internal/tomltext/document.go
+++ b/internal/tomltext/document.go
@@ -93,16 +93,11 @@
 // checkSyntax applies the rules of TOML that building the tree does not cover, such as the form of numbers.
 // The decoder stops at the first fault.
 func (d *Document) checkSyntax(text []byte, remedy string) {
-	var discard map[string]any
-	err := toml.Unmarshal(text, &discard)
+	err := decode(text)
 	if err == nil {
 		return
 	}
-	line := 1
-	var decodeErr *toml.DecodeError
-	if errors.As(err, &decodeErr) {
-		line, _ = decodeErr.Position()
-	}
+	line := d.errorLine(text, err)
 	for _, f := range d.faults {
 		if f.Line == line {
 			return // a duplicate key, which building the tree has found, too
@@ -112,6 +107,25 @@
 	d.Fault(line, remedy, "the text is not valid TOML: %s", problem)
 }
 
+func decode(text []byte) error {
+	var discard map[string]any
+	return toml.Unmarshal(text, &discard)
+}
+
+// errorLine returns the line of an error of the decoder. Errors of key conflicts have no position; their line
+// is the last one of the shortest text that has the conflict.
+func (d *Document) errorLine(text []byte, err error) int {
+	var positioned *toml.DecodeError
+	if errors.As(err, &positioned) {
+		line, _ := positioned.Position()
+		return line
+	}
+	return 1 + sort.Search(d.lines.count()-1, func(i int) bool {
+		prefixErr := decode(text[:d.lines[i+1]])
+		return prefixErr != nil && !errors.As(prefixErr, &positioned)
+	})
+}
+
 // kind is the type of a value.
 type kind int
 
@@ -139,6 +153,7 @@
 	children map[string]*node // of a table
 	items    []*node          // of an array
 	explicit bool             // the table has a header or the array was written by headers
+	inline   bool             // the table was written as a value and cannot be extended
 }
 
 func newTable(line int) *node {
@@ -207,7 +222,7 @@
 	if child.kind == kindArray && child.explicit {
 		return child.items[len(child.items)-1]
 	}
-	if child.kind != kindTable {
+	if child.kind != kindTable || child.inline {
 		d.duplicate(p, child)
 		return newTable(p.line)
 	}
@@ -226,7 +241,7 @@
 		n = d.descend(n, p)
 	}
 	child, ok := n.children[last.name]
-	if ok && (child.explicit || child.kind != kindTable) {
+	if ok && (child.explicit || child.inline || child.kind != kindTable) {
 		d.duplicate(last, child)
 		return newTable(last.line)
 	}
@@ -261,7 +276,9 @@
 func (d *Document) set(n *node, parts []part, value *unstable.Node) {
 	last := parts[len(parts)-1]
 	for _, p := range parts[:len(parts)-1] {
+		known := n.children[p.name] != nil
 		n = d.descend(n, p)
+		n.explicit = n.explicit || !known // a later header of this table would be a duplicate
 	}
 	if first, ok := n.children[last.name]; ok {
 		d.duplicate(last, first)
@@ -309,6 +326,7 @@
 		}
 		d.set(table, parts, it.Node().Value())
 	}
+	table.inline = true
 	return table
 }
 
--- a/internal/tomltext/table.go
+++ b/internal/tomltext/table.go
@@ -262,7 +262,7 @@
 	if addr.Addr().IsUnspecified() && !unspecified {
 		t.Fault(key, "write the address at which others reach it", "%s = %q is not an address that can be reached", key, n.text)
 	}
-	return addr.String()
+	return netip.AddrPortFrom(addr.Addr().Unmap(), addr.Port()).String()
 }
 
 // Named returns the string of a key that the operator chose, one of Keys.
