--- /dev/null
+++ b/internal/platform/http.go
@@ -0,0 +1,246 @@
+package platform
+
+import (
+	"bytes"
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// ClientHeader is the request header that carries the name of the client.
+const ClientHeader = "X-Client"
+
+const (
+	defaultTimeout = 2 * time.Second
+	dialTimeout    = 1 * time.Second
+	// A full store of audit records is about 10 MB; the limit keeps a faulty answer from
+	// exhausting the memory of a VM.
+	maxAnswerSize = 64 << 20
+	maxErrorText  = 512 // bytes of an error answer that are quoted
+	maxIdleConns  = 16
+)
+
+// Reads are repeated a few times, which covers a lost packet or a restart of one platform server.
+// An outage lasts longer, and the callers' own loops cover it.
+const (
+	readAttempts  = 3
+	readRetryBase = 20 * time.Millisecond
+)
+
+// Options are the settings of an HTTP store. The zero value is usable.
+type Options struct {
+	Client    string            // name sent in ClientHeader; may be empty
+	Timeout   time.Duration     // of one attempt, 2 s if 0; a watch adds it to WatchWait
+	Transport http.RoundTripper // a transport of its own if nil
+}
+
+// HTTP is the Store of a platform that is reached over HTTP/JSON.
+type HTTP struct {
+	base    string
+	client  string
+	timeout time.Duration
+	http    *http.Client
+}
+
+// Answer is the body of answers of the object API. Each call uses a part of the fields.
+type Answer struct {
+	Version  uint64   `json:"version,omitempty"`
+	Revision uint64   `json:"revision,omitempty"`
+	Objects  []Object `json:"objects,omitempty"`
+}
+
+// NewHTTP returns the store at baseURL, such as http://127.0.0.1:7700.
+func NewHTTP(baseURL string, o Options) (*HTTP, error) {
+	u, err := url.Parse(baseURL)
+	if err != nil {
+		return nil, fmt.Errorf("platform URL: %w", err)
+	}
+	if (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
+		return nil, fmt.Errorf("platform URL %q: want http://HOST:PORT or https://HOST:PORT", baseURL)
+	}
+	if o.Transport == nil {
+		o.Transport = newTransport()
+	}
+	return &HTTP{
+		base:    strings.TrimRight(baseURL, "/"),
+		client:  o.Client,
+		timeout: cmp.Or(o.Timeout, defaultTimeout),
+		http:    &http.Client{Transport: o.Transport, CheckRedirect: noRedirect},
+	}, nil
+}
+
+func newTransport() *http.Transport {
+	return &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost: maxIdleConns,
+		IdleConnTimeout:     time.Minute,
+	}
+}
+
+func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+// Close closes idle connections.
+func (h *HTTP) Close() { h.http.CloseIdleConnections() }
+
+// Get implements Store.
+func (h *HTTP) Get(ctx context.Context, name string) (Object, error) {
+	var o Object
+	if err := CheckName(name); err != nil {
+		return o, err
+	}
+	err := h.read(ctx, "/objects/"+name, &o)
+	return o, err
+}
+
+// List implements Store.
+func (h *HTTP) List(ctx context.Context, prefix string) ([]Object, uint64, error) {
+	var a Answer
+	q := url.Values{"prefix": {prefix}}
+	err := h.read(ctx, "/objects?"+q.Encode(), &a)
+	return a.Objects, a.Revision, err
+}
+
+// Put implements Store. It sends the value once; see Update for repeated attempts.
+func (h *HTTP) Put(ctx context.Context, name string, version uint64, value []byte) (uint64, error) {
+	if err := CheckName(name); err != nil {
+		return 0, err
+	}
+	if len(value) > MaxValueSize {
+		return 0, fmt.Errorf("%q: %w", name, ErrTooLarge)
+	}
+	var a Answer
+	path := fmt.Sprintf("/objects/%s?version=%d", name, version)
+	err := h.call(ctx, h.timeout, http.MethodPut, path, value, &a)
+	return a.Version, err
+}
+
+// Watch implements Store.
+func (h *HTTP) Watch(ctx context.Context, prefix string, after uint64) ([]Object, uint64, error) {
+	var a Answer
+	q := url.Values{"prefix": {prefix}, "after": {strconv.FormatUint(after, 10)}}
+	err := h.call(ctx, WatchWait+h.timeout, http.MethodGet, "/watch?"+q.Encode(), nil, &a)
+	return a.Objects, a.Revision, err
+}
+
+// VMs implements Store.
+func (h *HTTP) VMs(ctx context.Context) ([]VM, error) {
+	var vms []VM
+	err := h.read(ctx, "/vms", &vms)
+	return vms, err
+}
+
+// Register enters or renews a VM in the list of the stand-in platform. It returns ErrStopped when
+// the platform has stopped this incarnation. A real platform knows the VMs that it runs.
+func (h *HTTP) Register(ctx context.Context, vm VM) error {
+	body, err := json.Marshal(vm)
+	if err != nil {
+		return fmt.Errorf("encode VM %q: %w", vm.Name, err)
+	}
+	return h.call(ctx, h.timeout, http.MethodPut, "/vms/"+url.PathEscape(vm.Name), body, nil)
+}
+
+// read performs a GET and repeats it a few times while the platform is unavailable.
+func (h *HTTP) read(ctx context.Context, path string, answer any) error {
+	for attempt := 1; ; attempt++ {
+		err := h.call(ctx, h.timeout, http.MethodGet, path, nil, answer)
+		if attempt == readAttempts || !errors.Is(err, ErrUnavailable) {
+			return err
+		}
+		if sleep(ctx, jitter(readRetryBase<<attempt)) != nil {
+			return err
+		}
+	}
+}
+
+// call performs one request and decodes its answer into answer unless that is nil.
+func (h *HTTP) call(ctx context.Context, limit time.Duration, method, path string, body []byte, answer any) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, h.base+path, bytes.NewReader(body))
+	if err != nil {
+		return fmt.Errorf("platform request: %w", err)
+	}
+	if h.client != "" {
+		req.Header.Set(ClientHeader, h.client)
+	}
+	resp, err := h.http.Do(req)
+	if err != nil {
+		return unavailable(err)
+	}
+	defer closeBody(resp.Body)
+	if err := statusError(resp); err != nil {
+		return fmt.Errorf("%s %s: %w", method, path, err)
+	}
+	if answer == nil {
+		return nil
+	}
+	// An answer that cannot be read is a lost answer.
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxAnswerSize)).Decode(answer); err != nil {
+		return unavailable(fmt.Errorf("%s %s: read answer: %w", method, path, err))
+	}
+	return nil
+}
+
+// closeBody reads the short rest of an answer, without which the connection is not used again.
+func closeBody(body io.ReadCloser) {
+	_, _ = io.CopyN(io.Discard, body, maxErrorText)
+	_ = body.Close()
+}
+
+// statusError returns the error that corresponds to the status of an answer.
+func statusError(resp *http.Response) error {
+	switch resp.StatusCode {
+	case http.StatusOK:
+		return nil
+	case http.StatusNotFound:
+		return ErrNotFound
+	case http.StatusConflict:
+		return ErrConflict
+	case http.StatusGone:
+		return ErrStopped
+	case http.StatusRequestEntityTooLarge:
+		return ErrTooLarge
+	case http.StatusTooManyRequests:
+		return &QuotaError{RetryAfter: retryAfter(resp.Header)}
+	}
+	text, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorText))
+	err := fmt.Errorf("platform answered %s: %s", resp.Status, bytes.TrimSpace(text))
+	if resp.StatusCode >= http.StatusInternalServerError {
+		return unavailable(err)
+	}
+	return err
+}
+
+// retryAfter returns the time of a Retry-After header in seconds, or 0.
+func retryAfter(h http.Header) time.Duration {
+	seconds, err := strconv.ParseUint(h.Get("Retry-After"), 10, 16)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(seconds) * time.Second
+}
+
+// jitter returns a random time between half of d and d.
+func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d/2) }
+
+// sleep waits for d or until ctx ends, and returns the error of ctx in that case.
+func sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -5,6 +5,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"regexp"
+	"time"
 )
 
 // MaxValueSize is the largest value of an object, in bytes.
@@ -48,8 +51,37 @@
 	ErrUnavailable = errors.New("platform unavailable")
 	// ErrTooLarge means that the value exceeds MaxValueSize; nothing was changed.
 	ErrTooLarge = errors.New("value exceeds the platform limit of 1 MB")
+	// ErrOutcomeUnknown means that Update could not find out whether its change took effect.
+	ErrOutcomeUnknown = errors.New("the change may have taken effect")
+	// ErrStopped means that the platform has stopped this incarnation of a VM.
+	ErrStopped = errors.New("the platform has stopped this incarnation of the VM")
 )
 
+// QuotaError is ErrOverQuota with the time to wait that the platform asked for.
+type QuotaError struct {
+	RetryAfter time.Duration // 0 if the platform did not say
+}
+
+// Error returns the text of ErrOverQuota and the time to wait.
+func (e *QuotaError) Error() string {
+	return fmt.Sprintf("%v, retry after %v", ErrOverQuota, e.RetryAfter)
+}
+
+// Unwrap returns ErrOverQuota.
+func (e *QuotaError) Unwrap() error { return ErrOverQuota }
+
+// namePattern excludes characters and segments that URL paths treat specially.
+var namePattern = regexp.MustCompile(`^[A-Za-z0-9_-][A-Za-z0-9._-]*(/[A-Za-z0-9_-][A-Za-z0-9._-]*)*$`)
+
+// CheckName returns an error unless name can name an object: segments of letters, digits, dots,
+// dashes and underscores that do not start with a dot, separated by slashes.
+func CheckName(name string) error {
+	if !namePattern.MatchString(name) {
+		return fmt.Errorf("invalid object name %q: want segments of letters, digits, '.', '-' and '_' separated by '/'", name)
+	}
+	return nil
+}
+
 // Store is the platform's object API. Another platform needs one new implementation.
 type Store interface {
 	// Get returns an object, or ErrNotFound.
--- /dev/null
+++ b/internal/platform/update_test.go
@@ -0,0 +1,185 @@
+package platform_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"siskinrouter/internal/devplatform"
+	"siskinrouter/internal/platform"
+)
+
+func add(line string) func([]byte) ([]byte, error) {
+	return func(old []byte) ([]byte, error) { return append(old, line+"\n"...), nil }
+}
+
+// Guards against a change that is applied twice because the answer to the first attempt was lost.
+func TestUpdateAfterLostAnswer(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	s, h := start(t, time.Second)
+	for i, lost := range []int{0, 1, 3} {
+		s.SetFaults(devplatform.Faults{LoseAnswers: lost})
+		o, err := platform.Update(ctx, h, "a", add("line"))
+		is.NoErr(err)
+		is.Equal(o.Version, uint64(i+1))
+		is.Equal(string(o.Value), strings.Repeat("line\n", i+1))
+	}
+}
+
+// Guards against a repeat that overtakes or follows a slow first attempt and applies twice.
+func TestUpdateWithLateFirstAttempt(t *testing.T) {
+	is := is.New(t)
+	s, h := start(t, 100*time.Millisecond)
+	s.SetFaults(devplatform.Faults{DelayMS: 400})
+	time.AfterFunc(150*time.Millisecond, func() { s.SetFaults(devplatform.Faults{}) })
+	_, err := h.Put(context.Background(), "a", 0, []byte("line\n"))
+	is.True(errors.Is(err, platform.ErrUnavailable))
+	time.Sleep(80 * time.Millisecond)
+	_, err = platform.Update(context.Background(), h, "a", func([]byte) ([]byte, error) { return []byte("line\n"), nil })
+	is.NoErr(err)
+	time.Sleep(400 * time.Millisecond)
+	o, err := h.Get(context.Background(), "a")
+	is.NoErr(err)
+	is.Equal(o.Version, uint64(1))
+}
+
+// Guards against an operator's change that silently replaces another one, and against a refusal
+// that does not show the other change.
+func TestLostRace(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	_, h := start(t, time.Second)
+	_, err := platform.Update(ctx, h, "a", func([]byte) ([]byte, error) {
+		_, err := platform.Update(ctx, h, "a", add("first"))
+		return []byte("second\n"), err
+	})
+	var lost *platform.LostRace
+	is.True(errors.As(err, &lost))
+	is.True(errors.Is(err, platform.ErrConflict))
+	is.Equal(lost.Base.Version, uint64(0))
+	is.Equal(lost.Other, platform.Object{Name: "a", Version: 1, Value: []byte("first\n")})
+	is.True(!lost.MayHaveApplied)
+}
+
+// replaced is a store that loses the answer of an update and lets another writer follow it at once.
+type replaced struct {
+	*platform.Memory
+	once sync.Once
+}
+
+func (r *replaced) Put(ctx context.Context, name string, version uint64, value []byte) (uint64, error) {
+	v, err := r.Memory.Put(ctx, name, version, value)
+	r.once.Do(func() {
+		_, _ = r.Memory.Put(ctx, name, v, []byte("other"))
+		err = platform.ErrUnavailable
+	})
+	return v, err
+}
+
+// Guards against reporting "not applied" for a change that took effect and was then replaced.
+func TestLostAnswerThenReplaced(t *testing.T) {
+	is := is.New(t)
+	r := &replaced{Memory: platform.NewMemory(time.Second)}
+	_, err := platform.Update(context.Background(), r, "a", add("mine"))
+	var lost *platform.LostRace
+	is.True(errors.As(err, &lost))
+	is.True(lost.MayHaveApplied)
+	is.Equal(lost.Other.Version, uint64(2))
+}
+
+// Guards against an outage that is reported as success, as "not applied", or not at all.
+func TestUpdateDuringOutage(t *testing.T) {
+	is := is.New(t)
+	s, h := start(t, time.Second)
+	s.SetFaults(devplatform.Faults{Down: true})
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	_, err := platform.Update(ctx, h, "a", add("line"))
+	is.True(errors.Is(err, platform.ErrUnavailable))
+	is.True(!errors.Is(err, platform.ErrOutcomeUnknown)) // nothing was sent yet
+
+	s.SetFaults(devplatform.Faults{})
+	ctx, cancel = context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	_, err = platform.Update(ctx, h, "a", func([]byte) ([]byte, error) {
+		s.SetFaults(devplatform.Faults{Down: true})
+		return []byte("line"), nil
+	})
+	is.True(errors.Is(err, platform.ErrUnavailable))
+	is.True(errors.Is(err, platform.ErrOutcomeUnknown))
+}
+
+// Guards against an update that fails because of a short excess over the quota.
+func TestUpdateOverQuota(t *testing.T) {
+	is := is.New(t)
+	s, h := start(t, time.Second)
+	o, err := platform.Update(context.Background(), h, "a", func([]byte) ([]byte, error) {
+		s.SetFaults(devplatform.Faults{OverQuota: true})
+		time.AfterFunc(100*time.Millisecond, func() { s.SetFaults(devplatform.Faults{}) })
+		return []byte("line"), nil
+	})
+	is.NoErr(err)
+	is.Equal(o.Version, uint64(1))
+}
+
+// Guards against lost or doubled changes when operators race while answers are lost.
+func TestRacingOperators(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	s, h := start(t, time.Second)
+	const operators, changes = 4, 10
+	stop := time.NewTicker(5 * time.Millisecond)
+	defer stop.Stop()
+	done := make(chan struct{})
+	go func() {
+		for {
+			select {
+			case <-done:
+				return
+			case <-stop.C:
+				s.SetFaults(devplatform.Faults{LoseAnswers: 2})
+			}
+		}
+	}()
+	var wg sync.WaitGroup
+	for op := range operators {
+		wg.Go(func() {
+			for n := range changes {
+				addUntilApplied(ctx, t, h, fmt.Sprintf("%d-%d", op, n))
+			}
+		})
+	}
+	wg.Wait()
+	close(done)
+	o, err := h.Get(ctx, "a")
+	is.NoErr(err)
+	lines := strings.Fields(string(o.Value))
+	is.Equal(len(lines), operators*changes)
+	slices.Sort(lines)
+	is.Equal(len(slices.Compact(lines)), operators*changes)
+}
+
+// addUntilApplied adds a line, and after a lost race looks for it before it tries again.
+func addUntilApplied(ctx context.Context, t *testing.T, h *platform.HTTP, line string) {
+	for {
+		_, err := platform.Update(ctx, h, "a", add(line))
+		var lost *platform.LostRace
+		switch {
+		case err == nil:
+			return
+		case !errors.As(err, &lost):
+			t.Error(err)
+			return
+		case lost.MayHaveApplied && slices.Contains(strings.Fields(string(lost.Other.Value)), line):
+			return
+		}
+	}
+}
