--- /dev/null
+++ b/internal/grant/grant.go
@@ -0,0 +1,100 @@
+// Package grant divides the rate and burst of a workspace among VMs so that the fleet as a whole
+// admits no more than the configured amount.
+//
+// A share is a fraction of a workspace's rate and burst. Owned shares come from the owners objects
+// of the platform; all other movement is by loans. An Account keeps the share and the tokens of one
+// workspace on one VM and enforces every rule on which the limit depends. A Manager holds the
+// accounts of a VM and decides whom to ask, for how much and when; no decision of it can break the
+// limit.
+//
+// The limit holds because the live shares of all VMs never add up to more than Whole, an account
+// holds no more tokens than its share of the burst, and tokens are only created by the passage of
+// time at the share of the rate. In every window the fleet therefore admits at most
+// burst + rate x window.
+//
+// Nothing in this package is safe for concurrent use.
+package grant
+
+import (
+	"cmp"
+	"fmt"
+	"math/bits"
+	"time"
+)
+
+// Share is a fraction of a workspace's rate and burst in units of 1/Whole.
+type Share int64
+
+// Whole is the complete rate and burst of a workspace.
+const Whole Share = 1 << 20
+
+// Token is the number of micro-tokens that one request costs. Amounts of tokens are integers so
+// that a transfer neither creates nor loses a fraction.
+const Token int64 = 1_000_000
+
+const (
+	// LoanLifetime is how long a borrower may use a loan, counted from before it asked.
+	LoanLifetime = 2 * time.Second
+	// LoanMargin is the additional time for which the lender considers the loan in use. It
+	// covers clocks whose rates differ by up to 1%.
+	LoanMargin = LoanLifetime / 100
+)
+
+// VM identifies one run of a VM. A restarted VM has the same name and another incarnation.
+type VM struct {
+	Name        string
+	Incarnation uint64
+}
+
+// String returns NAME/INCARNATION.
+func (v VM) String() string { return fmt.Sprintf("%s/%d", v.Name, v.Incarnation) }
+
+// Compare orders VMs by name and then by incarnation.
+func (v VM) Compare(w VM) int {
+	if c := cmp.Compare(v.Name, w.Name); c != 0 {
+		return c
+	}
+	return cmp.Compare(v.Incarnation, w.Incarnation)
+}
+
+// BorrowRequest carries the asks of one VM to one lender, for any number of workspaces.
+type BorrowRequest struct {
+	From, To VM
+	Asks     []Ask
+	Recalls  []string // workspaces in which the sender asks the receiver to renew its loan now
+}
+
+// BorrowReply answers a BorrowRequest. From is the lender.
+type BorrowReply struct {
+	From, To VM
+	Grants   []Grant
+}
+
+// Ask states what a borrower keeps of its loan from one lender and what it would like to hold.
+type Ask struct {
+	Workspace string
+	Seq       uint64 // grows with every ask of a borrower's account
+	Loan      uint64 // loan that Keep and Tokens belong to; 0 if there is none
+	Keep      Share  // share still held from this lender; the rest was given up before asking
+	Tokens    int64  // micro-tokens given back with the share that was given up
+	Want      Share  // share that the borrower would like to hold from this lender
+	Have      Share  // share that the borrower holds from elsewhere
+	Need      Share  // share that matches the borrower's demand
+}
+
+// Grant answers an Ask.
+type Grant struct {
+	Workspace string
+	Seq       uint64 // of the ask
+	Loan      uint64
+	Amount    Share // share that the borrower may hold; below Keep it asks for a return
+	Tokens    int64 // micro-tokens handed over
+	Spare     Share // share that the lender could have lent in addition
+}
+
+// mulDiv returns a*b/c rounded down, for non-negative a and b, positive c and a result that fits.
+func mulDiv(a, b, c int64) int64 {
+	hi, lo := bits.Mul64(uint64(a), uint64(b))
+	q, _ := bits.Div64(hi, lo, uint64(c))
+	return int64(q)
+}
