--- a/internal/grant/manager.go
+++ b/internal/grant/manager.go
@@ -60,7 +60,7 @@
 	rules    rules
 	spaces   map[string]*space
 	removed  map[string]*space // no longer configured
-	names    []string // of spaces, sorted
+	names    []string          // of spaces, sorted
 	owners   map[string]Owners
 	released map[string]uint64 // version up to which a released slot is not taken back
 	peers    map[VM]*peer
