--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -40,13 +40,13 @@
 
 	mu       sync.Mutex
 	sessions map[uint32]*callerSession
-	draining error // reason sent to callers; nil while serving
-	wg       sync.WaitGroup
+	draining error         // reason sent to callers; nil while serving
+	drained  chan struct{} // closed once draining and no session is left
 }
 
 // NewServer returns a server that starts with Serve.
 func NewServer(cfg Config) *Server {
-	return &Server{cfg: cfg, sessions: make(map[uint32]*callerSession)}
+	return &Server{cfg: cfg, sessions: make(map[uint32]*callerSession), drained: make(chan struct{})}
 }
 
 // Serve accepts callers until ln is closed.
@@ -62,7 +62,7 @@
 			time.Sleep(acceptPause)
 			continue
 		}
-		s.wg.Go(func() { s.handle(conn) })
+		go s.handle(conn)
 	}
 }
 
@@ -73,12 +73,12 @@
 	c := newCallerSession(s, conn)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	defer s.unregister(c)
 	if !c.login(ctx) {
 		return
 	}
 	s.cfg.Metrics.Connections.Inc(1)
 	defer s.cfg.Metrics.Connections.Dec(1)
-	defer s.unregister(c)
 	c.run(ctx)
 }
 
@@ -106,6 +106,19 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.sessions, c.pid)
+	s.checkDrained()
+}
+
+// checkDrained closes drained when the last session has ended. The lock is held.
+func (s *Server) checkDrained() {
+	if s.draining == nil || len(s.sessions) > 0 {
+		return
+	}
+	select {
+	case <-s.drained:
+	default:
+		close(s.drained)
+	}
 }
 
 // snapshot returns the open sessions.
@@ -134,17 +147,13 @@
 func (s *Server) Drain(ctx context.Context, reason error) int {
 	s.mu.Lock()
 	s.draining = reason
+	s.checkDrained()
 	s.mu.Unlock()
 	for _, c := range s.snapshot() {
 		c.end(reason, 0)
 	}
-	done := make(chan struct{})
-	go func() {
-		s.wg.Wait()
-		close(done)
-	}()
 	select {
-	case <-done:
+	case <-s.drained:
 		return 0
 	case <-ctx.Done():
 	}
