--- /dev/null
+++ b/internal/check/check.go
@@ -0,0 +1,31 @@
+// Package check prints the faults of files that people write. It has no other effect.
+package check
+
+import (
+	"fmt"
+	"io"
+
+	"siskinrouter/internal/contract"
+	"siskinrouter/internal/settings"
+	"siskinrouter/internal/tomltext"
+)
+
+// Contract prints the faults of an operators' text as FILE:LINE: fault; remedy, ordered by line, and returns
+// their number.
+func Contract(out io.Writer, path string, text []byte) int {
+	_, faults := contract.Parse(text)
+	return show(out, path, faults)
+}
+
+// Settings prints the faults of a settings file in the same way.
+func Settings(out io.Writer, path string, text []byte) int {
+	_, faults := settings.Parse(text)
+	return show(out, path, faults)
+}
+
+func show(out io.Writer, path string, faults []tomltext.Fault) int {
+	for _, f := range faults {
+		fmt.Fprintf(out, "%s:%s\n", path, f)
+	}
+	return len(faults)
+}
--- a/internal/tomltext/table.go
+++ b/internal/tomltext/table.go
@@ -28,6 +28,9 @@
 // Good reports whether the text has the key and no fault was found in its value.
 func (t *Table) Good(key string) bool { return t.Has(key) && !t.bad[key] }
 
+// Bad reports whether a fault was found in the value of the key.
+func (t *Table) Bad(key string) bool { return t.bad[key] }
+
 // KeyLine returns the line of a key, or that of the table if the key is absent.
 func (t *Table) KeyLine(key string) int {
 	if n := t.node.children[key]; n != nil {
@@ -50,7 +53,7 @@
 	for _, example := range examples {
 		key, _, _ := strings.Cut(example, " ")
 		if !t.Has(key) {
-			t.Fault(key, "add "+example, "%s has no key %q", t.title(), key)
+			t.Fault(key, "add "+example, "%s has no key %q", t.Title(), key)
 		}
 	}
 }
@@ -65,7 +68,7 @@
 		if near := Nearest(key, t.asked); near != "" {
 			remedy = fmt.Sprintf("did you mean %q?", near)
 		}
-		t.Fault(key, remedy, "unknown key %q in %s", key, t.title())
+		t.Fault(key, remedy, "unknown key %q in %s", key, t.Title())
 	}
 }
 
@@ -312,8 +315,8 @@
 	return t.path + "." + key
 }
 
-// title names the table in messages.
-func (t *Table) title() string {
+// Title names the table in messages, such as "[service.group]".
+func (t *Table) Title() string {
 	if t.path == "" {
 		return "the text"
 	}
