--- a/internal/settings/parse.go
+++ b/internal/settings/parse.go
@@ -28,6 +28,7 @@
 
 func parse(doc *tomltext.Document) *Settings {
 	root := doc.Root()
+	limits, timings := root.Table("limits"), root.Table("timings")
 	s := &Settings{
 		VM:       parseVM(section(root, "vm")),
 		Callers:  parseCallers(section(root, "callers")),
@@ -35,14 +36,29 @@
 		Platform: parsePlatform(section(root, "platform")),
 		Target:   parseTarget(section(root, "target")),
 		Admin:    parseAdmin(root.Table("admin")),
-		Limits:   parseLimits(root.Table("limits")),
-		Timings:  parseTimings(root.Table("timings")),
+		Limits:   parseLimits(limits),
+		Timings:  parseTimings(timings),
 		Log:      parseLog(root.Table("log")),
 	}
+	checkDrain(limits, timings, s)
 	root.Close()
 	return s
 }
 
+// checkDrain reports a drain that would interrupt a statement within its timeout.
+func checkDrain(limits, timings *tomltext.Table, s *Settings) {
+	statement, drain := s.Limits.StatementTimeout, s.Timings.DrainTimeout
+	if drain >= statement || limits.Bad("statement_timeout") || timings.Bad("drain_timeout") {
+		return
+	}
+	t, key := timings, "drain_timeout"
+	if !t.Has(key) {
+		t, key = limits, "statement_timeout"
+	}
+	t.Fault(key, fmt.Sprintf("use drain_timeout = %q or more, or a shorter statement_timeout", statement),
+		"timings.drain_timeout (%s) is shorter than limits.statement_timeout (%s), so that a shutdown would interrupt statements", drain, statement)
+}
+
 // section returns a table that a file must have, or nil if it has none.
 func section(root *tomltext.Table, key string) *tomltext.Table {
 	t := root.Table(key)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -10,7 +10,7 @@
 	"time"
 )
 
-// Settings of a daemon. Texts without a value have the default of the constant that is named.
+// Settings of a daemon. Keys that a file leaves out have the default of the constant of the same name.
 type Settings struct {
 	VM       VM
 	Callers  Callers
@@ -78,7 +78,7 @@
 	Suspicion     time.Duration // without an answer until a primary is suspected
 	LoanLifetime  time.Duration // of a loan of a share; the same on all VMs
 	CutOffAfter   time.Duration // without fresh configuration until when_cut_off applies
-	DrainTimeout  time.Duration // from SIGTERM until remaining callers are closed
+	DrainTimeout  time.Duration // from SIGTERM until the daemon exits in any case; at least StatementTimeout
 }
 
 // Log holds the level of the log: debug, info, warn or error.
