Add the service between VMs and membership

fleet: connect-go server and bounded clients; the fleet key is checked before the body is read. machine: members from the platform's list and heartbeats, rendezvous ranking, version index with digests, peer choice, health reports.

--- /dev/null
+++ b/internal/fleet/convert.go
@@ -0,0 +1,195 @@
+package fleet
+
+import (
+	"time"
+
+	"siskinrouter/internal/fleet/fleetpb"
+	"siskinrouter/internal/machine"
+	"siskinrouter/internal/platform"
+)
+
+// maxDuration bounds durations from the wire, so that their conversion cannot overflow.
+const maxDuration = 365 * 24 * time.Hour
+
+func mapped[A, B any](list []A, convert func(A) B) []B {
+	if len(list) == 0 {
+		return nil
+	}
+	out := make([]B, len(list))
+	for i, a := range list {
+		out[i] = convert(a)
+	}
+	return out
+}
+
+func milliseconds(ms uint64) time.Duration {
+	return time.Duration(min(ms, uint64(maxDuration/time.Millisecond))) * time.Millisecond
+}
+
+// ceilMilliseconds rounds up, because an age that is too low would be wrong.
+func ceilMilliseconds(d time.Duration) uint64 {
+	return uint64(max(0, d+time.Millisecond-1) / time.Millisecond)
+}
+
+func vmToPB(v machine.VM) *fleetpb.VM {
+	return &fleetpb.VM{
+		Name: v.Name, Incarnation: v.Incarnation, Domain: v.Domain, Address: v.Address,
+		State: fleetpb.VMState(v.State) + fleetpb.VMState_VM_STATE_LIVE,
+	}
+}
+
+func vmFromPB(v *fleetpb.VM) machine.VM {
+	state := machine.Live
+	if s := v.GetState(); s > fleetpb.VMState_VM_STATE_LIVE && s <= fleetpb.VMState_VM_STATE_GONE {
+		state = machine.State(s - fleetpb.VMState_VM_STATE_LIVE)
+	}
+	return machine.VM{
+		Name: v.GetName(), Incarnation: v.GetIncarnation(), Domain: v.GetDomain(), Address: v.GetAddress(),
+		State: state,
+	}
+}
+
+func versionToPB(v machine.Version) *fleetpb.ObjectVersion {
+	return &fleetpb.ObjectVersion{Name: v.Name, Version: v.Version}
+}
+
+func versionFromPB(v *fleetpb.ObjectVersion) machine.Version {
+	return machine.Version{Name: v.GetName(), Version: v.GetVersion()}
+}
+
+func objectToPB(o platform.Object) *fleetpb.Object {
+	return &fleetpb.Object{Name: o.Name, Version: o.Version, Value: o.Value}
+}
+
+func objectFromPB(o *fleetpb.Object) platform.Object {
+	return platform.Object{Name: o.GetName(), Version: o.GetVersion(), Value: o.GetValue()}
+}
+
+func reportToPB(r machine.Report) *fleetpb.HealthReport {
+	return &fleetpb.HealthReport{
+		Server: r.Server, Group: r.Group, Suspected: r.Suspected, Reason: r.Reason, Term: r.Term,
+	}
+}
+
+func reportFromPB(r *fleetpb.HealthReport) machine.Report {
+	return machine.Report{
+		Server: r.GetServer(), Group: r.GetGroup(), Suspected: r.GetSuspected(), Reason: r.GetReason(),
+		Term: r.GetTerm(),
+	}
+}
+
+func helloToPB(h machine.Hello) *fleetpb.Hello {
+	return &fleetpb.Hello{
+		Vm:            vmToPB(h.VM),
+		Sequence:      h.Sequence,
+		Digests:       h.Digests,
+		Versions:      mapped(h.Versions, versionToPB),
+		Buckets:       h.Buckets,
+		Wanted:        h.Wanted,
+		Reports:       mapped(h.Reports, reportToPB),
+		Members:       mapped(h.Members, vmToPB),
+		MembersWanted: uint32(max(0, h.MembersWanted)),
+		Fresh:         h.Fresh,
+		FreshAgeMs:    ceilMilliseconds(h.FreshAge),
+	}
+}
+
+func helloFromPB(h *fleetpb.Hello) machine.Hello {
+	return machine.Hello{
+		VM:            vmFromPB(h.GetVm()),
+		Sequence:      h.GetSequence(),
+		Digests:       h.GetDigests(),
+		Versions:      mapped(h.GetVersions(), versionFromPB),
+		Buckets:       h.GetBuckets(),
+		Wanted:        h.GetWanted(),
+		Reports:       mapped(h.GetReports(), reportFromPB),
+		Members:       mapped(h.GetMembers(), vmFromPB),
+		MembersWanted: int(h.GetMembersWanted()),
+		Fresh:         h.GetFresh(),
+		FreshAge:      milliseconds(h.GetFreshAgeMs()),
+	}
+}
+
+func borrowToPB(r BorrowRequest) *fleetpb.BorrowRequest {
+	entry := func(w WantedShare) *fleetpb.BorrowRequest_Entry {
+		return &fleetpb.BorrowRequest_Entry{Workspace: w.Workspace, Share: w.Share}
+	}
+	return &fleetpb.BorrowRequest{
+		Borrower: r.Borrower, Incarnation: r.Incarnation, Entries: mapped(r.Wanted, entry),
+	}
+}
+
+func borrowFromPB(r *fleetpb.BorrowRequest) BorrowRequest {
+	entry := func(e *fleetpb.BorrowRequest_Entry) WantedShare {
+		return WantedShare{Workspace: e.GetWorkspace(), Share: e.GetShare()}
+	}
+	return BorrowRequest{
+		Borrower: r.GetBorrower(), Incarnation: r.GetIncarnation(), Wanted: mapped(r.GetEntries(), entry),
+	}
+}
+
+// loanToPB rounds the lifetime down, so that the borrower never counts longer than the lender.
+func loanToPB(l Loan) *fleetpb.BorrowResponse_Entry {
+	ms := min(max(0, l.Lifetime), time.Hour) / time.Millisecond
+	return &fleetpb.BorrowResponse_Entry{
+		Workspace: l.Workspace, Share: l.Share, MicroTokens: l.MicroTokens, LifetimeMs: uint32(ms),
+		Sequence: l.Sequence,
+	}
+}
+
+func loanFromPB(e *fleetpb.BorrowResponse_Entry) Loan {
+	return Loan{
+		Workspace: e.GetWorkspace(), Share: e.GetShare(), MicroTokens: e.GetMicroTokens(),
+		Lifetime: milliseconds(uint64(e.GetLifetimeMs())), Sequence: e.GetSequence(),
+	}
+}
+
+func statusToPB(s Status) *fleetpb.StatusResponse {
+	return &fleetpb.StatusResponse{
+		Vm:       vmToPB(s.VM),
+		Versions: mapped(s.Versions, versionToPB),
+		Members:  mapped(s.Members, vmToPB),
+		Groups:   mapped(s.Groups, groupToPB),
+		Domains:  mapped(s.Domains, domainToPB),
+		Counters: s.Counters,
+	}
+}
+
+func statusFromPB(s *fleetpb.StatusResponse) Status {
+	return Status{
+		VM:       vmFromPB(s.GetVm()),
+		Versions: mapped(s.GetVersions(), versionFromPB),
+		Members:  mapped(s.GetMembers(), vmFromPB),
+		Groups:   mapped(s.GetGroups(), groupFromPB),
+		Domains:  mapped(s.GetDomains(), domainFromPB),
+		Counters: s.GetCounters(),
+	}
+}
+
+func groupToPB(g GroupStatus) *fleetpb.GroupStatus {
+	server := func(s ServerStatus) *fleetpb.ServerStatus {
+		return &fleetpb.ServerStatus{Name: s.Name, Role: s.Role, Healthy: s.Healthy, Detail: s.Detail}
+	}
+	return &fleetpb.GroupStatus{
+		Name: g.Name, Primary: g.Primary, Term: g.Term, Healthy: g.Healthy, Detail: g.Detail,
+		Servers: mapped(g.Servers, server),
+	}
+}
+
+func groupFromPB(g *fleetpb.GroupStatus) GroupStatus {
+	server := func(s *fleetpb.ServerStatus) ServerStatus {
+		return ServerStatus{Name: s.GetName(), Role: s.GetRole(), Healthy: s.GetHealthy(), Detail: s.GetDetail()}
+	}
+	return GroupStatus{
+		Name: g.GetName(), Primary: g.GetPrimary(), Term: g.GetTerm(), Healthy: g.GetHealthy(),
+		Detail: g.GetDetail(), Servers: mapped(g.GetServers(), server),
+	}
+}
+
+func domainToPB(d DomainStatus) *fleetpb.DomainStatus {
+	return &fleetpb.DomainStatus{Name: d.Name, State: d.State, Detail: d.Detail}
+}
+
+func domainFromPB(d *fleetpb.DomainStatus) DomainStatus {
+	return DomainStatus{Name: d.GetName(), State: d.GetState(), Detail: d.GetDetail()}
+}
--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,413 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"io"
+	"math/big"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+
+	"siskinrouter/internal/fleet/fleetpb"
+	"siskinrouter/internal/machine"
+	"siskinrouter/internal/platform"
+	"siskinrouter/internal/verdict"
+)
+
+// recorder is a Handler that answers with fixed values and records what it was given.
+type recorder struct {
+	hello     machine.Hello
+	answer    SyncAnswer
+	syncErr   error
+	pushed    []platform.Object
+	wanted    []string
+	borrow    BorrowRequest
+	loans     []Loan
+	link      uint64
+	secret    []byte
+	status    Status
+	calls     int
+	block     chan struct{} // if set, Explain waits for it
+	started   chan struct{}
+	remaining time.Duration // until the deadline of the Explain call
+}
+
+func (r *recorder) Sync(_ context.Context, h machine.Hello) (SyncAnswer, error) {
+	r.calls++
+	r.hello = h
+	return r.answer, r.syncErr
+}
+
+func (r *recorder) Push(_ context.Context, objects []platform.Object, announced []machine.Version) ([]string, error) {
+	r.pushed = append(r.pushed, objects...)
+	var wanted []string
+	for _, a := range announced {
+		for _, w := range r.wanted {
+			if a.Name == w {
+				wanted = append(wanted, w)
+			}
+		}
+	}
+	return wanted, nil
+}
+
+func (r *recorder) Borrow(_ context.Context, req BorrowRequest) ([]Loan, error) {
+	r.borrow = req
+	return r.loans, nil
+}
+
+func (r *recorder) Cancel(_ context.Context, link uint64, secret []byte) error {
+	r.link, r.secret = link, secret
+	return nil
+}
+
+func (r *recorder) Explain(ctx context.Context, id string) ([]string, error) {
+	if r.block != nil {
+		deadline, _ := ctx.Deadline()
+		r.remaining = time.Until(deadline)
+		r.started <- struct{}{}
+		<-r.block
+	}
+	return []string{"explained " + id}, nil
+}
+
+func (r *recorder) Status(context.Context) (Status, error) { return r.status, nil }
+
+// serve starts a server and returns a client for it.
+func serve(t *testing.T, h Handler, server, client Options) *Peer {
+	t.Helper()
+	s, err := NewServer(h, server)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return serveHTTP(t, s, client)
+}
+
+func serveHTTP(t *testing.T, s *http.Server, client Options) *Peer {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan error, 1)
+	go func() { done <- Serve(s, listener) }()
+	peers, err := NewPeers(client)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		peers.Close()
+		_ = s.Close()
+		if err := <-done; err != nil {
+			t.Errorf("server: %v", err)
+		}
+	})
+	return peers.Peer(listener.Addr().String())
+}
+
+var testOptions = Options{Key: []byte("fleet key")}
+
+// Guards against fields lost or changed between the plain types and the wire.
+func TestCallsCarryAllFields(t *testing.T) {
+	is := is.New(t)
+	vm := machine.VM{Name: "a", Incarnation: "7", Domain: "bne", Address: "127.0.0.1:1", State: machine.Leaving}
+	other := machine.VM{Name: "b", Incarnation: "3", Domain: "tsv", Address: "127.0.0.1:2", State: machine.Suspected}
+	hello := machine.Hello{
+		VM: vm, Sequence: 9, Digests: []uint64{1, 1 << 63}, Versions: []machine.Version{{Name: "keys", Version: 4}},
+		Buckets: []uint32{0, 5}, Wanted: []string{"contract"},
+		Reports: []machine.Report{{Server: "s1", Group: "g", Suspected: true, Reason: "no answer", Term: 8}},
+		Members: []machine.VM{other}, MembersWanted: 3, Fresh: true, FreshAge: 1500 * time.Millisecond,
+	}
+	object := platform.Object{Name: "keys", Version: 5, Value: []byte{0, 1, 2}}
+	h := &recorder{
+		answer: SyncAnswer{Hello: hello, Objects: []platform.Object{object}, More: true},
+		loans:  []Loan{{Workspace: "w", Share: 77, MicroTokens: -5, Lifetime: 2 * time.Second, Sequence: 11}},
+		status: Status{
+			VM: vm, Versions: hello.Versions, Members: []machine.VM{other},
+			Groups: []GroupStatus{{
+				Name: "g", Primary: "s1", Term: 8, Healthy: true, Detail: "d",
+				Servers: []ServerStatus{{Name: "s1", Role: "primary", Healthy: true, Detail: "x"}},
+			}},
+			Domains:  []DomainStatus{{Name: "bne", State: "out", Detail: "withdrawn"}},
+			Counters: map[string]int64{"proxy.refused": 12},
+		},
+	}
+	peer := serve(t, h, testOptions, testOptions)
+	ctx := context.Background()
+
+	answer, err := peer.Sync(ctx, hello)
+	is.NoErr(err)
+	is.Equal(h.hello, hello)
+	is.Equal(answer, h.answer)
+
+	is.NoErr(peer.Deliver(ctx, []platform.Object{object}))
+	is.Equal(h.pushed, []platform.Object{object})
+
+	want := BorrowRequest{Borrower: "a", Incarnation: "7", Wanted: []WantedShare{{Workspace: "w", Share: 100}}}
+	loans, err := peer.Borrow(ctx, want)
+	is.NoErr(err)
+	is.Equal(h.borrow, want)
+	is.Equal(loans, h.loans)
+
+	is.NoErr(peer.Cancel(ctx, 42, []byte{9, 8}))
+	is.Equal(h.link, uint64(42))
+	is.Equal(h.secret, []byte{9, 8})
+
+	lines, err := peer.Explain(ctx, "r1")
+	is.NoErr(err)
+	is.Equal(lines, []string{"explained r1"})
+
+	status, err := peer.Status(ctx)
+	is.NoErr(err)
+	is.Equal(status, h.status)
+}
+
+// Guards against a VM of another fleet, or any other client, reading or changing state.
+func TestWrongKeyIsRefused(t *testing.T) {
+	for _, key := range []string{"fleet kez", "fleet key2", "f"} {
+		is := is.New(t)
+		h := &recorder{}
+		peer := serve(t, h, testOptions, Options{Key: []byte(key)})
+		_, err := peer.Sync(context.Background(), machine.Hello{})
+		is.True(errors.Is(err, ErrKeyRefused))
+		is.Equal(verdict.Of(err), verdict.NotRun)
+		is.Equal(h.calls, 0)
+	}
+}
+
+// Guards against an empty key, which every client could present.
+func TestEmptyKeyIsRejected(t *testing.T) {
+	is := is.New(t)
+	_, err := NewServer(&recorder{}, Options{})
+	is.True(errors.Is(err, ErrNoKey))
+	_, err = NewPeers(Options{})
+	is.True(errors.Is(err, ErrNoKey))
+}
+
+// Guards against reading a large body for a client without the key.
+func TestKeyIsCheckedBeforeTheBody(t *testing.T) {
+	is := is.New(t)
+	body := &countingReader{}
+	r, err := http.NewRequest(http.MethodPost, fleetpb.FleetSyncProcedure, body)
+	is.NoErr(err)
+	r.Header.Set("Content-Type", "application/proto")
+	w := &discardResponse{header: http.Header{}}
+	newHTTPHandler(&recorder{}, testOptions.Key).ServeHTTP(w, r)
+	is.Equal(w.code, http.StatusUnauthorized)
+	is.Equal(body.n, 0)
+}
+
+type countingReader struct{ n int }
+
+func (c *countingReader) Read(p []byte) (int, error) { c.n += len(p); return len(p), nil }
+
+type discardResponse struct {
+	header http.Header
+	code   int
+}
+
+func (d *discardResponse) Header() http.Header         { return d.header }
+func (d *discardResponse) Write(b []byte) (int, error) { return len(b), nil }
+func (d *discardResponse) WriteHeader(code int)        { d.code = code }
+
+// Guards against an old incarnation that does not learn that it was replaced.
+func TestRefusedIncarnationIsReported(t *testing.T) {
+	is := is.New(t)
+	h := &recorder{syncErr: machine.ErrOldIncarnation}
+	peer := serve(t, h, testOptions, testOptions)
+	_, err := peer.Sync(context.Background(), machine.Hello{})
+	is.True(errors.Is(err, machine.ErrOldIncarnation))
+	h.syncErr = machine.ErrGone
+	_, err = peer.Sync(context.Background(), machine.Hello{})
+	is.True(errors.Is(err, machine.ErrGone))
+}
+
+// Guards against an answer that is taken for that of another request.
+func TestMismatchedAnswerIsDropped(t *testing.T) {
+	is := is.New(t)
+	mux := http.NewServeMux()
+	mux.HandleFunc(fleetpb.FleetExplainProcedure, func(w http.ResponseWriter, r *http.Request) {
+		var req fleetpb.ExplainRequest
+		body, _ := io.ReadAll(r.Body)
+		_ = proto.Unmarshal(body, &req)
+		answer, _ := proto.Marshal(&fleetpb.ExplainResponse{RequestId: req.RequestId + 1, Lines: []string{"other"}})
+		w.Header().Set("Content-Type", "application/proto")
+		_, _ = w.Write(answer)
+	})
+	s, err := NewServer(&recorder{}, testOptions)
+	is.NoErr(err)
+	s.Handler = mux
+	peer := serveHTTP(t, s, testOptions)
+	lines, err := peer.Explain(context.Background(), "r1")
+	is.True(errors.Is(err, ErrMismatch))
+	is.Equal(len(lines), 0)
+	is.Equal(peer.peers.Dropped(), int64(1))
+}
+
+// Guards against a call that waits longer than its deadline, and against a server that works for a
+// caller that no longer waits.
+func TestLateAnswerIsDropped(t *testing.T) {
+	is := is.New(t)
+	h := &recorder{block: make(chan struct{}), started: make(chan struct{}, 1)}
+	peer := serve(t, h, testOptions, testOptions)
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	begin := time.Now()
+	lines, err := peer.Explain(ctx, "late")
+	is.True(err != nil)
+	is.Equal(len(lines), 0)
+	is.True(time.Since(begin) < CallTimeout)
+	<-h.started
+	is.True(h.remaining <= 100*time.Millisecond)
+	close(h.block)
+	h.started = make(chan struct{}, 1)
+	lines, err = peer.Explain(context.Background(), "next")
+	is.NoErr(err)
+	is.Equal(lines, []string{"explained next"})
+}
+
+// Guards against an unbounded number of calls that wait for one slow peer.
+func TestCallsPerPeerAreBounded(t *testing.T) {
+	is := is.New(t)
+	h := &blocker{block: make(chan struct{}), started: make(chan struct{}, maxCallsPerPeer)}
+	peer := serve(t, h, testOptions, testOptions)
+	done := make(chan error, maxCallsPerPeer)
+	for range maxCallsPerPeer {
+		go func() {
+			_, err := peer.Explain(context.Background(), "r")
+			done <- err
+		}()
+	}
+	for range maxCallsPerPeer {
+		<-h.started
+	}
+	_, err := peer.Explain(context.Background(), "one too many")
+	is.True(errors.Is(err, ErrBusy))
+	close(h.block)
+	for range maxCallsPerPeer {
+		is.NoErr(<-done)
+	}
+}
+
+type blocker struct {
+	recorder
+	block, started chan struct{}
+}
+
+func (b *blocker) Explain(context.Context, string) ([]string, error) {
+	b.started <- struct{}{}
+	<-b.block
+	return nil, nil
+}
+
+// Guards against messages that exhaust the memory of a VM.
+func TestMessageSizeIsBounded(t *testing.T) {
+	is := is.New(t)
+	h := &recorder{}
+	peer := serve(t, h, testOptions, testOptions)
+	big := []platform.Object{{Name: "contract", Version: 1, Value: make([]byte, maxMessageBytes+1)}}
+	_, err := peer.Push(context.Background(), big, nil)
+	is.True(errors.Is(err, ErrTooLarge))
+	is.Equal(len(h.pushed), 0)
+
+	// A client without the bound is refused by the server.
+	raw := fleetpb.NewFleetClient(&http.Client{Transport: peer.transport}, "http://"+peer.address,
+		connect.WithInterceptors(keyInterceptor(string(testOptions.Key))))
+	_, err = raw.Push(context.Background(), connect.NewRequest(&fleetpb.PushRequest{Objects: mapped(big, objectToPB)}))
+	is.Equal(connect.CodeOf(err), connect.CodeResourceExhausted)
+	is.Equal(len(h.pushed), 0)
+}
+
+// Guards against an answer of the largest permitted objects that exceeds the message bound.
+func TestLargestObjectsFit(t *testing.T) {
+	is := is.New(t)
+	object := func(name string, size int) platform.Object {
+		return platform.Object{Name: name, Version: 1, Value: bytes.Repeat([]byte{1}, size)}
+	}
+	objects := []platform.Object{
+		object("a", platform.MaxValueSize), object("b", 100<<10), object("c", platform.MaxValueSize),
+	}
+	fit, more := BoundObjects(objects)
+	is.Equal(len(fit), 2)
+	is.True(more)
+	h := &recorder{answer: SyncAnswer{Objects: fit, More: more}, wanted: []string{"a", "c"}}
+	peer := serve(t, h, testOptions, testOptions)
+	answer, err := peer.Sync(context.Background(), machine.Hello{})
+	is.NoErr(err)
+	is.Equal(answer.Objects, fit)
+
+	// Objects above the inline limit are sent only when the peer asks for them.
+	small := object("small", machine.InlineLimit)
+	is.NoErr(peer.Deliver(context.Background(), append(objects, small)))
+	names := map[string]bool{}
+	for _, o := range h.pushed {
+		names[o.Name] = true
+	}
+	is.Equal(names, map[string]bool{"a": true, "c": true, "small": true})
+}
+
+// Guards against clients that pile up while a VM calls a random peer each second.
+func TestPeersAreBounded(t *testing.T) {
+	is := is.New(t)
+	peers, err := NewPeers(testOptions)
+	is.NoErr(err)
+	first := peers.Peer("127.0.0.1:1")
+	for port := range 3 * maxPeers {
+		is.True(peers.Peer("127.0.0.1:1") == first) // in use, so it is kept
+		peers.Peer(net.JoinHostPort("127.0.0.2", big.NewInt(int64(port+1)).String()))
+	}
+	is.Equal(len(peers.peers), maxPeers)
+}
+
+// Guards against cleartext or an unverified certificate when TLS is configured.
+func TestTLS(t *testing.T) {
+	is := is.New(t)
+	server, client := testCertificate(t)
+	h := &recorder{}
+	secure := Options{Key: testOptions.Key, TLS: server}
+	peer := serve(t, h, secure, Options{Key: testOptions.Key, TLS: client})
+	lines, err := peer.Explain(context.Background(), "r")
+	is.NoErr(err)
+	is.Equal(lines, []string{"explained r"})
+
+	untrusting := serve(t, h, secure, Options{Key: testOptions.Key, TLS: &tls.Config{}})
+	_, err = untrusting.Explain(context.Background(), "r")
+	is.True(err != nil)
+
+	cleartext := serve(t, h, secure, testOptions)
+	_, err = cleartext.Explain(context.Background(), "r")
+	is.True(err != nil)
+}
+
+func testCertificate(t *testing.T) (server, client *tls.Config) {
+	t.Helper()
+	is := is.New(t)
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	is.NoErr(err)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1),
+		NotBefore:    time.Now().Add(-time.Hour),
+		NotAfter:     time.Now().Add(time.Hour),
+		IPAddresses:  []net.IP{net.IPv4(127, 0, 0, 1)},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	is.NoErr(err)
+	cert, err := x509.ParseCertificate(der)
+	is.NoErr(err)
+	pool := x509.NewCertPool()
+	pool.AddCert(cert)
+	return &tls.Config{Certificates: []tls.Certificate{{Certificate: [][]byte{der}, PrivateKey: key}}},
+		&tls.Config{RootCAs: pool}
+}
--- /dev/null
+++ b/internal/fleet/messages.go
@@ -0,0 +1,95 @@
+// Package fleet is the service between entry VMs: a connect-go server handler and bounded clients
+// for Sync, Push, Borrow, Cancel, Explain and Status. No protobuf type leaves this package.
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"siskinrouter/internal/machine"
+	"siskinrouter/internal/platform"
+)
+
+// Handler serves the calls of other VMs. Its methods are called concurrently and must return when
+// the context ends.
+type Handler interface {
+	// Sync applies a heartbeat and returns the own Hello with the objects that the caller lacks. It
+	// returns at most MaxSyncBytes of objects, but at least one, and sets More if some were left out.
+	// machine.ErrOldIncarnation and machine.ErrGone are passed on to the caller.
+	Sync(ctx context.Context, hello machine.Hello) (SyncAnswer, error)
+	// Push stores objects and returns the announced ones that this VM lacks.
+	Push(ctx context.Context, objects []platform.Object, announced []machine.Version) (wanted []string, err error)
+	// Borrow lends shares; a workspace without a loan is absent from the answer.
+	Borrow(ctx context.Context, req BorrowRequest) ([]Loan, error)
+	// Cancel cancels the statement that runs on a caller connection. An unknown link or a wrong
+	// secret is ignored, as PostgreSQL does.
+	Cancel(ctx context.Context, link uint64, secret []byte) error
+	// Explain returns what is known about a request, one line per event.
+	Explain(ctx context.Context, requestID string) ([]string, error)
+	// Status returns the VM's view of the fleet.
+	Status(ctx context.Context) (Status, error)
+}
+
+// SyncAnswer is the answer to Sync.
+type SyncAnswer struct {
+	Hello   machine.Hello
+	Objects []platform.Object
+	More    bool // objects were left out because of the bound
+}
+
+// BorrowRequest asks for loans.
+type BorrowRequest struct {
+	Borrower    string // VM name
+	Incarnation string
+	Wanted      []WantedShare
+}
+
+// WantedShare is the share that a borrower asks for.
+type WantedShare struct {
+	Workspace string
+	Share     uint64 // units of 1/2^20 of the workspace's rate and burst
+}
+
+// Loan is a granted share.
+type Loan struct {
+	Workspace   string
+	Share       uint64 // units of 1/2^20 of the workspace's rate and burst
+	MicroTokens int64  // millionths of a request handed over with the share
+	Lifetime    time.Duration
+	Sequence    uint64 // grows with each loan of the lender's incarnation
+}
+
+// Status is one VM's view of the fleet.
+type Status struct {
+	VM       machine.VM
+	Versions []machine.Version
+	Members  []machine.VM
+	Groups   []GroupStatus
+	Domains  []DomainStatus
+	Counters map[string]int64
+}
+
+// GroupStatus is one VM's view of a database group.
+type GroupStatus struct {
+	Name    string
+	Primary string // server name, empty if none is known
+	Term    uint64
+	Healthy bool
+	Detail  string
+	Servers []ServerStatus
+}
+
+// ServerStatus is one VM's view of a server.
+type ServerStatus struct {
+	Name    string
+	Role    string
+	Healthy bool
+	Detail  string
+}
+
+// DomainStatus is one VM's view of a failure domain.
+type DomainStatus struct {
+	Name   string
+	State  string
+	Detail string
+}
--- /dev/null
+++ b/internal/fleet/server.go
@@ -0,0 +1,192 @@
+package fleet
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"siskinrouter/internal/fleet/fleetpb"
+	"siskinrouter/internal/machine"
+	"siskinrouter/internal/platform"
+)
+
+const (
+	// keyHeader carries the fleet key.
+	keyHeader = "Siskinrouter-Fleet-Key"
+	// MaxSyncBytes is the size of the objects in one Sync answer. It exceeds the largest object.
+	MaxSyncBytes = platform.MaxValueSize + 512<<10
+	// maxMessageBytes bounds every message: the objects plus versions, reports and members.
+	maxMessageBytes = MaxSyncBytes + 512<<10
+	// maxServedCalls bounds the calls that a VM serves at the same time. Each may hold one message.
+	maxServedCalls = 64
+	// maxServedTime bounds the time of a call, whatever deadline its caller set.
+	maxServedTime = 5 * time.Second
+	// maxStreams bounds the calls on one connection; a client sends at most maxCallsPerPeer.
+	maxStreams = 32
+	// readHeaderTimeout and idleTimeout end connections that are of no use.
+	readHeaderTimeout = 2 * time.Second
+	idleTimeout       = 60 * time.Second
+)
+
+// Options are common to servers and clients.
+type Options struct {
+	Key []byte // fleet key
+	// TLS is the certificate configuration of a server, or the verification of a client. Nil means
+	// cleartext HTTP/2.
+	TLS *tls.Config
+}
+
+// ErrNoKey means that no fleet key is configured.
+var ErrNoKey = errors.New("the fleet key is empty")
+
+// NewServer returns an HTTP server for the fleet service. It is started with Serve.
+func NewServer(h Handler, opts Options) (*http.Server, error) {
+	if len(opts.Key) == 0 {
+		return nil, ErrNoKey
+	}
+	server := &http.Server{
+		Handler:           newHTTPHandler(h, opts.Key),
+		ReadHeaderTimeout: readHeaderTimeout,
+		ReadTimeout:       maxServedTime,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    16 << 10,
+		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreams},
+		Protocols:         new(http.Protocols),
+	}
+	if opts.TLS != nil {
+		server.TLSConfig = opts.TLS.Clone()
+		server.Protocols.SetHTTP2(true)
+		return server, nil
+	}
+	server.Protocols.SetUnencryptedHTTP2(true)
+	return server, nil
+}
+
+// Serve serves the listener until the server is shut down, which is no error.
+func Serve(server *http.Server, listener net.Listener) error {
+	var err error
+	if server.TLSConfig != nil {
+		err = server.ServeTLS(listener, "", "")
+	} else {
+		err = server.Serve(listener)
+	}
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+func newHTTPHandler(h Handler, key []byte) http.Handler {
+	_, service := fleetpb.NewFleetHandler(&service{h},
+		connect.WithReadMaxBytes(maxMessageBytes),
+		connect.WithSendMaxBytes(maxMessageBytes),
+	)
+	return guard(service, sha256.Sum256(key))
+}
+
+// guard refuses calls without the fleet key before their body is read, and calls beyond the limit.
+func guard(next http.Handler, want [sha256.Size]byte) http.Handler {
+	refuse := connect.NewErrorWriter()
+	places := make(chan struct{}, maxServedCalls)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		// Digests have the same length, so the time of the comparison depends on neither key.
+		got := sha256.Sum256([]byte(r.Header.Get(keyHeader)))
+		if subtle.ConstantTimeCompare(got[:], want[:]) != 1 {
+			_ = refuse.Write(w, r, connect.NewError(connect.CodeUnauthenticated, ErrKeyRefused))
+			return
+		}
+		select {
+		case places <- struct{}{}:
+			defer func() { <-places }()
+		default:
+			_ = refuse.Write(w, r, connect.NewError(connect.CodeAborted, ErrBusy))
+			return
+		}
+		ctx, cancel := context.WithTimeout(r.Context(), maxServedTime)
+		defer cancel()
+		next.ServeHTTP(w, r.WithContext(ctx))
+	})
+}
+
+// service adapts a Handler to the generated interface.
+type service struct{ h Handler }
+
+// codeOf gives the errors that the calling VM acts on a code of their own.
+func codeOf(err error) error {
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, machine.ErrOldIncarnation):
+		return connect.NewError(connect.CodeFailedPrecondition, err)
+	case errors.Is(err, machine.ErrGone):
+		return connect.NewError(connect.CodeNotFound, err)
+	default:
+		return err
+	}
+}
+
+func (s *service) Sync(ctx context.Context, req *connect.Request[fleetpb.SyncRequest]) (*connect.Response[fleetpb.SyncResponse], error) {
+	answer, err := s.h.Sync(ctx, helloFromPB(req.Msg.GetHello()))
+	if err != nil {
+		return nil, codeOf(err)
+	}
+	return connect.NewResponse(&fleetpb.SyncResponse{
+		RequestId: req.Msg.GetRequestId(),
+		Hello:     helloToPB(answer.Hello),
+		Objects:   mapped(answer.Objects, objectToPB),
+		More:      answer.More,
+	}), nil
+}
+
+func (s *service) Push(ctx context.Context, req *connect.Request[fleetpb.PushRequest]) (*connect.Response[fleetpb.PushResponse], error) {
+	objects := mapped(req.Msg.GetObjects(), objectFromPB)
+	announced := mapped(req.Msg.GetAnnounced(), versionFromPB)
+	wanted, err := s.h.Push(ctx, objects, announced)
+	if err != nil {
+		return nil, codeOf(err)
+	}
+	return connect.NewResponse(&fleetpb.PushResponse{RequestId: req.Msg.GetRequestId(), Wanted: wanted}), nil
+}
+
+func (s *service) Borrow(ctx context.Context, req *connect.Request[fleetpb.BorrowRequest]) (*connect.Response[fleetpb.BorrowResponse], error) {
+	loans, err := s.h.Borrow(ctx, borrowFromPB(req.Msg))
+	if err != nil {
+		return nil, codeOf(err)
+	}
+	return connect.NewResponse(&fleetpb.BorrowResponse{
+		RequestId: req.Msg.GetRequestId(),
+		Entries:   mapped(loans, loanToPB),
+	}), nil
+}
+
+func (s *service) Cancel(ctx context.Context, req *connect.Request[fleetpb.CancelRequest]) (*connect.Response[fleetpb.CancelResponse], error) {
+	if err := s.h.Cancel(ctx, req.Msg.GetLink(), req.Msg.GetSecret()); err != nil {
+		return nil, codeOf(err)
+	}
+	return connect.NewResponse(&fleetpb.CancelResponse{RequestId: req.Msg.GetRequestId()}), nil
+}
+
+func (s *service) Explain(ctx context.Context, req *connect.Request[fleetpb.ExplainRequest]) (*connect.Response[fleetpb.ExplainResponse], error) {
+	lines, err := s.h.Explain(ctx, req.Msg.GetId())
+	if err != nil {
+		return nil, codeOf(err)
+	}
+	return connect.NewResponse(&fleetpb.ExplainResponse{RequestId: req.Msg.GetRequestId(), Lines: lines}), nil
+}
+
+func (s *service) Status(ctx context.Context, req *connect.Request[fleetpb.StatusRequest]) (*connect.Response[fleetpb.StatusResponse], error) {
+	status, err := s.h.Status(ctx)
+	if err != nil {
+		return nil, codeOf(err)
+	}
+	answer := statusToPB(status)
+	answer.RequestId = req.Msg.GetRequestId()
+	return connect.NewResponse(answer), nil
+}
--- /dev/null
+++ b/internal/machine/tick.go
@@ -0,0 +1,236 @@
+package machine
+
+import "time"
+
+const (
+	// watchHolders is the number of VMs per failure domain that hold a watch on the platform. Two
+	// tolerate the failure of one; a watch held by each of 2,100 VMs would use the platform's quota
+	// for every change.
+	watchHolders = 2
+	// watchCandidates is the number of top-ranked VMs per failure domain that check the holders.
+	watchCandidates = 6
+	// pushPeers is the number of peers that receive a newly learned version. With 4, a change reaches
+	// about 98% of the VMs by push alone; Sync reaches the rest.
+	pushPeers = 4
+	// confirmInterval is the time between two checks of a watch holder that the platform answers.
+	confirmInterval = 2 * time.Second
+	// staleAfter is the age of the configuration after which a VM prefers the watch holders of its
+	// failure domain as sync peers.
+	staleAfter = 3 * time.Second
+	// listEntrySize is the approximate size in bytes of one VM in the platform's list.
+	listEntrySize = 130
+	// Bytes per second that a watch holder and another VM may spend on the platform's list.
+	holderListRate = 8000
+	otherListRate  = 3000
+	// minListInterval limits the calls of a small fleet.
+	minListInterval = 2 * time.Second
+	// listRetry is the time until a list call without an answer is repeated.
+	listRetry = 5 * time.Second
+	// maxReportPeers bounds the VMs that are called because of health reports at one time.
+	maxReportPeers = 32
+)
+
+// Action is an effect that the caller of Members carries out.
+type Action interface{ action() }
+
+// SyncWith asks for a Sync call to a peer. For a seed only the address is known.
+type SyncWith struct{ Peer VM }
+
+// PushTo asks for delivery of the current values of the named objects to the peers.
+type PushTo struct {
+	Peers []VM
+	Names []string
+}
+
+// ListVMs asks for the platform's list; the answer is passed to Observe.
+type ListVMs struct{}
+
+// ConfirmFresh asks for a cheap platform call. If it succeeds while the watch is established,
+// Confirmed is called with the start time of the call.
+type ConfirmFresh struct{}
+
+// StartWatch asks this VM to hold a watch on the platform.
+type StartWatch struct{}
+
+// StopWatch asks this VM to end its watch.
+type StopWatch struct{}
+
+func (SyncWith) action()     {}
+func (PushTo) action()       {}
+func (ListVMs) action()      {}
+func (ConfirmFresh) action() {}
+func (StartWatch) action()   {}
+func (StopWatch) action()    {}
+
+// Tick returns the actions that are due. It is called at least every 100 ms.
+func (m *Members) Tick(now time.Duration) []Action {
+	var actions []Action
+	if now >= m.nextList {
+		m.nextList = now + m.listWait()
+		actions = append(actions, ListVMs{})
+	}
+	if now >= m.nextSync {
+		m.nextSync = now + syncInterval
+		m.expire(now)
+		actions = m.tickWatch(actions)
+		actions = m.tickSync(now, actions)
+	}
+	if m.watching && now >= m.nextConfirm {
+		m.nextConfirm = now + confirmInterval
+		actions = append(actions, ConfirmFresh{})
+	}
+	return m.tickReports(now, actions)
+}
+
+// listInterval spreads the bytes of the platform's list evenly over time.
+func (m *Members) listInterval() time.Duration {
+	rate := otherListRate
+	if m.watching {
+		rate = holderListRate
+	}
+	return max(minListInterval, time.Duration(m.listSize*listEntrySize)*time.Second/time.Duration(rate))
+}
+
+// listWait returns the time until the next list call, with jitter of up to a quarter so that VMs
+// that started together spread their calls.
+func (m *Members) listWait() time.Duration {
+	wait := m.listInterval()
+	if !m.hasList {
+		wait = listRetry
+	}
+	return wait - time.Duration(m.rng.Int64N(int64(wait)/4))
+}
+
+// WatchHolders returns the VMs that hold a watch for a failure domain: the first two by rendezvous
+// ranking among its live VMs.
+func (m *Members) WatchHolders(domain string) []VM {
+	ranked := m.watchRanking(domain, func(v VM) bool { return v.State == Live })
+	return ranked[:min(watchHolders, len(ranked))]
+}
+
+func (m *Members) watchRanking(domain string, keep func(VM) bool) []VM {
+	var candidates []VM
+	for _, name := range m.byZone[domain] {
+		if vm := m.members[name].view(); keep(vm) {
+			candidates = append(candidates, vm)
+		}
+	}
+	return Rank("watch/"+domain, candidates)
+}
+
+func (m *Members) tickWatch(actions []Action) []Action {
+	hold := false
+	for _, vm := range m.WatchHolders(m.self.Domain) {
+		hold = hold || vm.Name == m.self.Name
+	}
+	if hold == m.watching {
+		return actions
+	}
+	m.watching = hold
+	if hold {
+		return append(actions, StartWatch{})
+	}
+	return append(actions, StopWatch{})
+}
+
+// tickSync returns one call to a peer and, on a candidate for the watch, one call to a VM that ranks
+// before it, so that the failure of a holder is noticed within a few seconds.
+func (m *Members) tickSync(now time.Duration, actions []Action) []Action {
+	m.turn++
+	if peer, ok := m.syncPeer(now); ok {
+		actions = append(actions, SyncWith{peer})
+	}
+	if peer, ok := m.monitoredPeer(); ok {
+		actions = append(actions, SyncWith{peer})
+	}
+	return actions
+}
+
+// syncPeer chooses the sync peer of this second. Every second choice is from the own failure domain,
+// so that a cut-off failure domain stays consistent within itself. One choice in four is a watch
+// holder while the configuration is not fresh.
+func (m *Members) syncPeer(now time.Duration) (VM, bool) {
+	age, ok := m.FreshAge(now)
+	if (!ok || age > staleAfter) && m.rng.IntN(4) == 0 {
+		holders := m.WatchHolders(m.self.Domain)
+		if len(holders) > 0 {
+			if vm := holders[m.rng.IntN(len(holders))]; vm.Name != m.self.Name {
+				return vm, true
+			}
+		}
+	}
+	if m.turn%2 == 0 {
+		if vm, ok := m.randomPeer(m.byZone[m.self.Domain], nil); ok {
+			return vm, true
+		}
+	}
+	if vm, ok := m.randomPeer(m.order, nil); ok {
+		return vm, true
+	}
+	if len(m.seeds) > 0 {
+		return VM{Address: m.seeds[m.rng.IntN(len(m.seeds))]}, true
+	}
+	return VM{}, false
+}
+
+// randomPeer returns a random VM of the list that is live or leaving and not excluded. It gives up
+// after a full scan.
+func (m *Members) randomPeer(names []string, exclude []VM) (VM, bool) {
+	if len(names) == 0 {
+		return VM{}, false
+	}
+	start := m.rng.IntN(len(names))
+	for i := range names {
+		vm := m.members[names[(start+i)%len(names)]].view()
+		if vm.Name != m.self.Name && vm.State <= Leaving && !containsVM(exclude, vm.Name) {
+			return vm, true
+		}
+	}
+	return VM{}, false
+}
+
+func containsVM(list []VM, name string) bool {
+	for _, vm := range list {
+		if vm.Name == name {
+			return true
+		}
+	}
+	return false
+}
+
+// monitoredPeer returns one of the VMs that rank before this VM among the watch candidates.
+func (m *Members) monitoredPeer() (VM, bool) {
+	ranked := m.watchRanking(m.self.Domain, func(v VM) bool { return v.State == Live })
+	for i, vm := range ranked[:min(watchCandidates, len(ranked))] {
+		if vm.Name == m.self.Name && i > 0 {
+			return ranked[m.turn%min(i, watchHolders)], true
+		}
+	}
+	return VM{}, false
+}
+
+// Learned returns the pushes for object versions that this VM has just learned: half of the peers
+// are from the own failure domain if it has enough.
+func (m *Members) Learned(names ...string) []Action {
+	if len(names) == 0 {
+		return nil
+	}
+	var peers []VM
+	for i := range pushPeers {
+		from := m.order
+		if i < pushPeers/2 {
+			from = m.byZone[m.self.Domain]
+		}
+		vm, ok := m.randomPeer(from, peers)
+		if !ok {
+			vm, ok = m.randomPeer(m.order, peers)
+		}
+		if ok {
+			peers = append(peers, vm)
+		}
+	}
+	if len(peers) == 0 {
+		return nil
+	}
+	return []Action{PushTo{Peers: peers, Names: names}}
+}
