--- /dev/null
+++ b/internal/promotion/attempt.go
@@ -0,0 +1,225 @@
+package promotion
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"siskinrouter/internal/session"
+)
+
+// phase is the progress of an attempt to promote a server.
+type phase uint8
+
+const (
+	idle phase = iota
+	fencing
+	promoting
+)
+
+// attempt is one attempt to promote a server in one term.
+type attempt struct {
+	phase    phase
+	term     uint64
+	cause    string
+	evidence string
+	since    time.Duration // start of the phase
+	grants   []grant
+	refused  int
+	chosen   string // server that is being promoted
+	held     session.Position
+	majority time.Duration // time at which a majority had granted
+}
+
+// grant is the promise of a server with the position it held.
+type grant struct {
+	server string
+	held   session.Position
+}
+
+// start begins an attempt in a term that this driver has neither seen nor used.
+func (d *Driver) start(now time.Duration, cause string) {
+	d.highest++
+	d.attempt = attempt{phase: fencing, term: d.highest, cause: cause, evidence: d.evidence(now), since: now}
+	d.log("promotion started", d.highest, "", cause, now)
+	for _, p := range d.peers {
+		d.do(Send{Server: p.Name, Op: Fence, Term: d.highest, Driver: d.cfg.Driver})
+	}
+}
+
+// answered processes the answer to a control statement.
+func (d *Driver) answered(now time.Duration, m Answer) {
+	a := &d.attempt
+	current := m.Term == a.term || d.without.has(ruleAnswerTerm)
+	if a.phase == idle || !current || d.peer(m.Server) == nil {
+		return
+	}
+	switch {
+	case m.Op == Fence && a.phase == fencing && m.Granted:
+		d.granted(now, m)
+	case m.Op == Fence && a.phase == fencing:
+		a.refused++
+		if len(d.peers)-a.refused < Majority(len(d.peers)) {
+			d.giveUp(now, fmt.Sprintf("%d servers refused the term", a.refused))
+		}
+	case m.Op == Promote && a.phase == promoting && m.Server == a.chosen && m.Granted:
+		d.succeed(now, m.Status)
+	case m.Op == Promote && a.phase == promoting && m.Server == a.chosen:
+		d.giveUp(now, fmt.Sprintf("server %s refused the promotion", m.Server))
+	}
+}
+
+func (d *Driver) granted(now time.Duration, m Answer) {
+	a := &d.attempt
+	if slices.ContainsFunc(a.grants, func(g grant) bool { return g.server == m.Server }) {
+		return
+	}
+	a.grants = append(a.grants, grant{server: m.Server, held: m.Status.Held})
+	if len(a.grants) == d.majorityOfGrants() {
+		a.majority = now
+	}
+}
+
+// majorityOfGrants returns the number of grants that a promotion needs.
+func (d *Driver) majorityOfGrants() int {
+	if d.without.has(ruleMajority) {
+		return 1
+	}
+	return Majority(len(d.peers))
+}
+
+// failed processes a control statement without an answer. A failed promotion is not repeated
+// with another server: the first server may have been promoted, and a term has one primary.
+func (d *Driver) failed(now time.Duration, m Failed) {
+	a := &d.attempt
+	if m.Term != a.term || m.Op != Promote || a.phase != promoting || m.Server != a.chosen {
+		return
+	}
+	if d.without.has(ruleOnePromotion) {
+		a.phase = fencing
+		a.grants = slices.DeleteFunc(a.grants, func(g grant) bool { return g.server == a.chosen })
+		d.promote(now)
+		return
+	}
+	d.giveUp(now, fmt.Sprintf("no answer to the promotion of %s: %s", m.Server, m.Reason))
+}
+
+// advance moves an attempt on when its conditions or time limits are reached.
+func (d *Driver) advance(now time.Duration) {
+	a := &d.attempt
+	expired := now-a.since >= d.timing.AttemptLimit
+	switch {
+	case a.phase == fencing && len(a.grants) >= d.majorityOfGrants():
+		if !d.awaitsGrant(now) || now-a.majority >= d.timing.GrantWait {
+			d.promote(now)
+		}
+	case a.phase == fencing && expired:
+		d.giveUp(now, fmt.Sprintf("%d of %d grants within %v", len(a.grants), len(d.peers), d.timing.AttemptLimit))
+	case a.phase == promoting && expired:
+		d.giveUp(now, fmt.Sprintf("no answer to the promotion of %s within %v", a.chosen, d.timing.AttemptLimit))
+	}
+}
+
+// awaitsGrant reports whether a server that answers has not yet answered the fence. It may be
+// more advanced or better placed than those that have.
+func (d *Driver) awaitsGrant(now time.Duration) bool {
+	fresh := 0
+	for i := range d.peers {
+		if d.fresh(&d.peers[i], now) {
+			fresh++
+		}
+	}
+	return len(d.attempt.grants)+d.attempt.refused < fresh
+}
+
+// promote selects a server among the grants and promotes it.
+func (d *Driver) promote(now time.Duration) {
+	a := &d.attempt
+	best, found := d.choose(a.grants)
+	if !found {
+		d.giveUp(now, "no server can be promoted")
+		return
+	}
+	a.phase, a.since, a.chosen, a.held = promoting, now, best.server, best.held
+	d.do(Send{Server: best.server, Op: Promote, Term: a.term, Driver: d.cfg.Driver})
+}
+
+// choose returns the most advanced server in a place that is open, or the most advanced of all
+// if no such server may be promoted. A server may be promoted if it covers the positions of a
+// majority of the group, each bound by its grant: a position that it lacks is then held by a
+// minority, which can neither have been confirmed nor be confirmed later.
+func (d *Driver) choose(grants []grant) (grant, bool) {
+	var best grant
+	found := false
+	for _, g := range grants {
+		if !d.coversMajority(g, grants) {
+			continue
+		}
+		if !found || d.better(g, best) {
+			best, found = g, true
+		}
+	}
+	return best, found
+}
+
+func (d *Driver) coversMajority(g grant, grants []grant) bool {
+	if d.without.has(ruleMostAdvanced) {
+		return true
+	}
+	covered := 0
+	for _, other := range grants {
+		if g.held.Covers(other.held) {
+			covered++
+		}
+	}
+	return covered >= d.majorityOfGrants()
+}
+
+// better orders two servers that may be promoted: open place, position, current primary.
+func (d *Driver) better(x, y grant) bool {
+	px, py := d.peer(x.server), d.peer(y.server)
+	if open := d.open(px); open != d.open(py) {
+		return open
+	}
+	if c := x.held.Compare(y.held); c != 0 {
+		return c > 0
+	}
+	return px.status.Promised == d.primaryTerm && px.status.Role == Primary
+}
+
+// succeed ends an attempt whose promotion was granted.
+func (d *Driver) succeed(now time.Duration, st Status) {
+	a := d.attempt
+	d.attempt = attempt{}
+	d.publish(now, a, st)
+	primary := d.peer(a.chosen)
+	for i := range d.peers {
+		if p := &d.peers[i]; p != primary {
+			d.follow(now, p, a.term, primary.Address)
+		}
+	}
+}
+
+func (d *Driver) publish(now time.Duration, a attempt, st Status) {
+	p := d.peer(a.chosen)
+	d.log("primary promoted", a.term, a.chosen, a.cause, now)
+	d.do(Publish{Outcome: Outcome{
+		Group: d.cfg.Group, Term: a.term, Primary: a.chosen, Address: p.Address, Driver: d.cfg.Driver,
+		Cause: a.cause, Evidence: a.evidence, Held: st.Held,
+	}})
+}
+
+// giveUp ends an attempt without a result and backs off with jitter.
+func (d *Driver) giveUp(now time.Duration, why string) {
+	d.log("promotion abandoned", d.attempt.term, d.attempt.chosen, why, now)
+	if d.attempt.phase == promoting {
+		d.unpublished = d.attempt
+	}
+	d.attempt = attempt{}
+	wait := min(d.timing.BackoffBase<<min(d.failures, 10), d.timing.BackoffLimit)
+	d.failures++
+	if d.cfg.Rand != nil {
+		wait = wait/2 + time.Duration(d.cfg.Rand.Int64N(int64(wait)))
+	}
+	d.backoff = now + wait
+}
--- /dev/null
+++ b/internal/promotion/detect.go
@@ -0,0 +1,191 @@
+package promotion
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"siskinrouter/internal/session"
+)
+
+// evaluate updates everything that the driver derives from its observations and starts an
+// attempt if one is due.
+func (d *Driver) evaluate(now time.Duration) {
+	primary := d.primary()
+	d.reports = slices.DeleteFunc(d.reports, func(r report) bool { return now-r.at >= d.timing.ReportLife })
+	d.noPrimary.set(primary == nil, now)
+	d.evaluateStall(now, primary)
+	reason := d.suspicion(now, primary)
+	d.report(now, primary, reason)
+	d.confirmed.set(reason != "" && d.confirmations() >= d.confirmationsNeeded(), now)
+	d.repair.set(d.fencedAbove(now, primary) != "", now)
+	d.evaluateMove(now, primary)
+	d.rejoin(now, primary)
+	if d.attempt.phase == idle && now >= d.backoff && now >= d.settleUntil && d.majorityAnswers(now) {
+		d.startIfDue(now, primary, reason)
+	}
+}
+
+// startIfDue starts an attempt for the most urgent cause that is due.
+func (d *Driver) startIfDue(now time.Duration, primary *peer, reason string) {
+	delay := d.rankDelay()
+	stopped := primary == nil || !d.fresh(primary, now)
+	guarded := now-d.primaryAt < d.timing.Guard && d.primaryTerm > 0
+	switch {
+	case d.confirmed.lasted(delay, now) && (stopped || !guarded):
+		d.start(now, reason)
+	case stopped || guarded:
+		return
+	case d.moveDue(now, primary):
+		d.start(now, fmt.Sprintf("planned move away from %s in %s", primary.Name, primary.Domain))
+	case d.repair.lasted(d.timing.RepairAfter+delay, now):
+		d.start(now, d.fencedAbove(now, primary))
+	}
+}
+
+// suspicion returns why the primary is suspected, or "" if it is not.
+func (d *Driver) suspicion(now time.Duration, primary *peer) string {
+	switch {
+	case primary == nil && d.noPrimary.lasted(d.timing.SuspectAfter, now):
+		return fmt.Sprintf("no server has been primary for %v", d.timing.SuspectAfter)
+	case primary == nil:
+		return ""
+	case now-primary.answeredAt >= d.timing.SuspectAfter:
+		return fmt.Sprintf("primary %s has not answered for %v", primary.Name, d.timing.SuspectAfter)
+	case d.stall.lasted(d.timing.StallAfter, now):
+		return fmt.Sprintf("majority has held %s for %v while primary %s is ahead",
+			d.stalledAt, d.timing.StallAfter, primary.Name)
+	}
+	return ""
+}
+
+// evaluateStall follows whether the position held by a majority stays below the position of
+// the primary. Without fresh answers of a majority nothing is known about it.
+func (d *Driver) evaluateStall(now time.Duration, primary *peer) {
+	if primary == nil || !d.fresh(primary, now) || !d.majorityAnswers(now) {
+		d.stall = span{}
+		return
+	}
+	held := d.majorityHeld()
+	if held != d.stalledAt {
+		d.stall = span{}
+	}
+	d.stalledAt = held
+	d.stall.set(held.Compare(primary.status.Held) < 0, now)
+}
+
+// majorityHeld returns the highest position that a majority of the servers covers.
+func (d *Driver) majorityHeld() session.Position {
+	held := make([]session.Position, 0, len(d.peers))
+	for _, p := range d.peers {
+		held = append(held, p.status.Held)
+	}
+	slices.SortFunc(held, func(x, y session.Position) int { return y.Compare(x) })
+	return held[Majority(len(held))-1]
+}
+
+// majorityAnswers reports whether a majority of the servers answers this VM. An attempt without
+// them could only fence servers.
+func (d *Driver) majorityAnswers(now time.Duration) bool {
+	n := 0
+	for i := range d.peers {
+		if d.fresh(&d.peers[i], now) {
+			n++
+		}
+	}
+	return n >= Majority(len(d.peers))
+}
+
+// report tells the peers about the own suspicion when it changes, and repeats it while it lasts.
+func (d *Driver) report(now time.Duration, primary *peer, reason string) {
+	next := Report{Suspected: reason != "", Reason: reason}
+	if next.Suspected {
+		next.Term = d.primaryTerm
+	}
+	if primary != nil && next.Suspected {
+		next.Term = primary.status.Promised
+	}
+	changed := next != d.suspected
+	if !changed && (!next.Suspected || now-d.reported < d.timing.ReportEvery) {
+		return
+	}
+	if changed && next.Suspected {
+		d.log("primary suspected", next.Term, "", reason, now)
+	}
+	if changed && !next.Suspected {
+		next.Term = d.suspected.Term
+		d.log("suspicion ended", next.Term, "", d.suspected.Reason, now)
+	}
+	d.do(next)
+	if !next.Suspected {
+		next.Term = 0
+	}
+	d.suspected, d.reported = next, now
+}
+
+// confirmations returns the number of failure domains whose VMs suspect the primary. Reports
+// about an earlier primary do not count.
+func (d *Driver) confirmations() int {
+	domains := []string{d.cfg.Domain}
+	for _, r := range d.reports {
+		if r.Term >= d.suspected.Term && !slices.Contains(domains, r.Domain) {
+			domains = append(domains, r.Domain)
+		}
+	}
+	return len(domains)
+}
+
+// confirmationsNeeded returns two, or the number of live failure domains if fewer.
+func (d *Driver) confirmationsNeeded() int {
+	domains := []string{d.cfg.Domain}
+	for _, vm := range d.live {
+		if !slices.Contains(domains, vm.Domain) {
+			domains = append(domains, vm.Domain)
+		}
+	}
+	return min(2, len(domains))
+}
+
+// fencedAbove returns a cause if a server that answers has promised a term above the term of
+// a working primary. An unfinished promotion left it there, and it cannot follow the primary.
+func (d *Driver) fencedAbove(now time.Duration, primary *peer) string {
+	if primary == nil {
+		return ""
+	}
+	for i := range d.peers {
+		p := &d.peers[i]
+		if d.fresh(p, now) && p.status.Promised > primary.status.Promised {
+			return fmt.Sprintf("server %s has promised term %d above the primary's term %d",
+				p.Name, p.status.Promised, primary.status.Promised)
+		}
+	}
+	return ""
+}
+
+// rejoin tells servers that do not follow the current primary to do so. Drivers of lower rank
+// wait longer, so that usually one of them sends it.
+func (d *Driver) rejoin(now time.Duration, primary *peer) {
+	if primary == nil || !d.fresh(primary, now) || d.attempt.phase != idle {
+		return
+	}
+	term := primary.status.Promised
+	if now-d.primaryAt < d.rankDelay() {
+		return
+	}
+	for i := range d.peers {
+		p := &d.peers[i]
+		behind := p.status.Promised < term || p.status.Promised == term && p.status.Role == Fenced
+		if p == primary || !d.fresh(p, now) || !behind {
+			continue
+		}
+		if p.followed && now-p.followedAt < d.timing.FollowEvery+d.rankDelay() {
+			continue
+		}
+		d.follow(now, p, term, primary.Address)
+	}
+}
+
+func (d *Driver) follow(now time.Duration, p *peer, term uint64, address string) {
+	p.followed, p.followedAt = true, now
+	d.do(Send{Server: p.Name, Op: Follow, Term: term, Primary: address})
+}
--- /dev/null
+++ b/internal/promotion/driver.go
@@ -0,0 +1,512 @@
+package promotion
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"siskinrouter/internal/session"
+)
+
+// Timing holds the intervals of a Driver. Zero fields take the value of DefaultTiming.
+type Timing struct {
+	ProbeEvery    time.Duration // interval of status probes per server
+	ProbeLost     time.Duration // a probe without any result is repeated after this time
+	SuspectAfter  time.Duration // time without an answer after which the primary is suspected
+	StallAfter    time.Duration // time without confirmation progress after which it is suspected
+	RankDelay     time.Duration // delay per rank before a driver acts
+	ReportEvery   time.Duration // repetition of an own suspicion report
+	ReportLife    time.Duration // time for which a peer's report counts
+	Guard         time.Duration // time for which a new primary is left in place
+	GrantWait     time.Duration // wait for grants beyond the majority
+	AttemptLimit  time.Duration // time for each of the phases fence and promote
+	Settle        time.Duration // wait after another driver obtained a promise
+	BackoffBase   time.Duration // first backoff after a failed attempt, before jitter
+	BackoffLimit  time.Duration // longest backoff before jitter
+	HoldLimit     time.Duration // time for which new transactions wait during a planned move
+	DrainLimit    time.Duration // time after which a planned move no longer waits for transactions
+	MoveRetry     time.Duration // time between two holds for the same planned move
+	FollowEvery   time.Duration // interval at which a server is told again to follow
+	RepairAfter   time.Duration // time for which a server may stay fenced above the primary's term
+	PauseDetected time.Duration // gap between steps after which earlier observations are discarded
+}
+
+// DefaultTiming holds the intervals of section 6.1 of the design page. The remaining ones are
+// chosen so that detection, confirmation and promotion by the third-ranked driver end within
+// the goal of 2 s for the failover gap.
+var DefaultTiming = Timing{
+	ProbeEvery:    100 * time.Millisecond,
+	ProbeLost:     1 * time.Second,
+	SuspectAfter:  400 * time.Millisecond,
+	StallAfter:    1 * time.Second,
+	RankDelay:     150 * time.Millisecond,
+	ReportEvery:   500 * time.Millisecond,
+	ReportLife:    2 * time.Second,
+	Guard:         2 * time.Second,
+	GrantWait:     50 * time.Millisecond,
+	AttemptLimit:  500 * time.Millisecond,
+	Settle:        200 * time.Millisecond,
+	BackoffBase:   100 * time.Millisecond,
+	BackoffLimit:  800 * time.Millisecond,
+	HoldLimit:     2 * time.Second,
+	DrainLimit:    1500 * time.Millisecond,
+	MoveRetry:     5 * time.Second,
+	FollowEvery:   500 * time.Millisecond,
+	RepairAfter:   1 * time.Second,
+	PauseDetected: 300 * time.Millisecond,
+}
+
+func (t Timing) withDefaults() Timing {
+	d := DefaultTiming
+	for _, f := range []struct{ field, value *time.Duration }{
+		{&t.ProbeEvery, &d.ProbeEvery}, {&t.ProbeLost, &d.ProbeLost}, {&t.SuspectAfter, &d.SuspectAfter},
+		{&t.StallAfter, &d.StallAfter}, {&t.RankDelay, &d.RankDelay}, {&t.ReportEvery, &d.ReportEvery},
+		{&t.ReportLife, &d.ReportLife}, {&t.Guard, &d.Guard}, {&t.GrantWait, &d.GrantWait},
+		{&t.AttemptLimit, &d.AttemptLimit}, {&t.Settle, &d.Settle}, {&t.BackoffBase, &d.BackoffBase},
+		{&t.BackoffLimit, &d.BackoffLimit}, {&t.HoldLimit, &d.HoldLimit}, {&t.DrainLimit, &d.DrainLimit},
+		{&t.MoveRetry, &d.MoveRetry}, {&t.FollowEvery, &d.FollowEvery}, {&t.RepairAfter, &d.RepairAfter},
+		{&t.PauseDetected, &d.PauseDetected},
+	} {
+		if *f.field == 0 {
+			*f.field = *f.value
+		}
+	}
+	return t
+}
+
+// Server is one server of the group as configured.
+type Server struct {
+	Name    string
+	Address string // address that replicas and VMs connect to
+	Domain  string // failure domain
+}
+
+// VM is a live VM that uses the group.
+type VM struct {
+	Name   string
+	Domain string
+}
+
+// Config configures the Driver of one VM for one group.
+type Config struct {
+	Group   string
+	VM      string // VM name, as in Peers
+	Domain  string // failure domain of the VM
+	Driver  string // name sent with fence and promote; VM and incarnation, unique per process
+	Servers []Server
+	Timing  Timing
+	Rand    *rand.Rand // source of the backoff jitter; nil for none
+}
+
+// Operation is a control statement sent to a server.
+type Operation uint8
+
+// Operations that a Driver requests.
+const (
+	Fence Operation = iota
+	Promote
+	Follow
+)
+
+// String returns the lower-case name of the operation.
+func (o Operation) String() string { return [...]string{"fence", "promote", "follow"}[o] }
+
+// Input is one of Tick, StatusAnswer, ProbeFailed, Answer, Failed, Peers, PeerReport and
+// Placement.
+type Input interface{ input() }
+
+type (
+	// Tick lets time pass. The caller sends one at least every 50 ms.
+	Tick struct{}
+	// StatusAnswer is the answer to a Probe. Any other status row received from the server,
+	// for example by group_wait, may be passed as well.
+	StatusAnswer struct {
+		Server string
+		Status Status
+	}
+	// ProbeFailed means that a Probe got no status row.
+	ProbeFailed struct {
+		Server string
+		Reason string
+	}
+	// Answer is the result of a Send.
+	Answer struct {
+		Server  string
+		Op      Operation
+		Term    uint64
+		Granted bool
+		Status  Status
+	}
+	// Failed means that a Send got no answer. The statement may have taken effect.
+	Failed struct {
+		Server string
+		Op     Operation
+		Term   uint64
+		Reason string
+	}
+	// Peers replaces the list of live VMs that use the group, including this one.
+	Peers struct{ Live []VM }
+	// PeerReport is a Report of another VM.
+	PeerReport struct {
+		VM        string
+		Domain    string
+		Term      uint64
+		Suspected bool
+		Reason    string
+	}
+	// Placement replaces the places that operators have closed: withdrawn failure domains and
+	// leaving servers. A primary in one of them is moved away.
+	Placement struct {
+		Withdrawn []string // failure domains
+		Leaving   []string // server names
+	}
+)
+
+func (Tick) input()         {}
+func (StatusAnswer) input() {}
+func (ProbeFailed) input()  {}
+func (Answer) input()       {}
+func (Failed) input()       {}
+func (Peers) input()        {}
+func (PeerReport) input()   {}
+func (Placement) input()    {}
+
+// Action is one of Probe, Send, Publish, Report, HoldWrites and LogChange.
+type Action interface{ action() }
+
+type (
+	// Probe asks a server for its status. The caller answers with StatusAnswer or ProbeFailed.
+	Probe struct{ Server string }
+	// Send sends a control statement. The caller answers with Answer or Failed.
+	Send struct {
+		Server  string
+		Op      Operation
+		Term    uint64
+		Driver  string // for Fence and Promote
+		Primary string // address of the primary, for Follow
+	}
+	// Publish announces a promotion in the object groups/GROUP and in the audit trail.
+	Publish struct{ Outcome Outcome }
+	// Report tells the other VMs whether this VM suspects the primary of Term.
+	Report struct {
+		Term      uint64
+		Suspected bool
+		Reason    string
+	}
+	// HoldWrites makes new transactions on the primary wait (On) or continue.
+	HoldWrites struct{ On bool }
+	// LogChange is a change of state for the log.
+	LogChange struct {
+		Change   string
+		Term     uint64
+		Server   string // may be empty
+		Cause    string
+		Evidence string
+	}
+)
+
+func (Probe) action()      {}
+func (Send) action()       {}
+func (Publish) action()    {}
+func (Report) action()     {}
+func (HoldWrites) action() {}
+func (LogChange) action()  {}
+
+// Outcome describes a completed promotion.
+type Outcome struct {
+	Group    string
+	Term     uint64
+	Primary  string // server name
+	Address  string
+	Driver   string
+	Cause    string
+	Evidence string
+	Held     session.Position // end of the log of the primary when it was promoted
+}
+
+// peer is the view of one server.
+type peer struct {
+	Server
+	status     Status
+	known      bool          // status holds an answer
+	answeredAt time.Duration // time of the last answer, or of the start or wake-up of the driver
+	probedAt   time.Duration
+	probing    bool
+	followedAt time.Duration // last time the server was told to follow
+	followed   bool
+}
+
+// report is a peer's suspicion report.
+type report struct {
+	PeerReport
+	at time.Duration
+}
+
+// span is the time since a condition holds.
+type span struct {
+	on    bool
+	since time.Duration
+}
+
+// set updates the condition and keeps the time since it holds.
+func (s *span) set(on bool, now time.Duration) {
+	if on && !s.on {
+		s.since = now
+	}
+	s.on = on
+}
+
+// lasted reports whether the condition has held for at least d.
+func (s span) lasted(d, now time.Duration) bool { return s.on && now-s.since >= d }
+
+// Driver detects that a group needs another primary and promotes it. Its zero value is not
+// usable; call NewDriver. Methods must not be called concurrently.
+type Driver struct {
+	cfg       Config
+	timing    Timing
+	peers     []peer
+	live      []VM
+	reports   []report
+	placement Placement
+
+	started  bool
+	lastStep time.Duration
+	actions  []Action
+
+	primaryTerm uint64        // term of the newest primary seen
+	primaryAt   time.Duration // time at which that primary was first seen
+	highest     uint64        // highest term seen in any promise or own attempt
+	settleUntil time.Duration
+
+	noPrimary span
+	stall     span
+	stalledAt session.Position // position held by a majority when the stall began
+	confirmed span             // enough failure domains suspect the primary
+	repair    span             // a server is fenced above the primary's term
+	misplaced span             // the primary is in a closed place and another server can take over
+	hold      span
+	holdAgain time.Duration
+	suspected Report
+	reported  time.Duration
+
+	attempt     attempt
+	unpublished attempt // promotion whose answer was lost
+	backoff     time.Duration
+	failures    int
+
+	without rule // rules switched off; set only by tests
+}
+
+// NewDriver returns a driver that has observed nothing.
+func NewDriver(cfg Config) *Driver {
+	d := &Driver{cfg: cfg, timing: cfg.Timing.withDefaults()}
+	for _, s := range cfg.Servers {
+		d.peers = append(d.peers, peer{Server: s})
+	}
+	d.live = []VM{{Name: cfg.VM, Domain: cfg.Domain}}
+	return d
+}
+
+// Step processes one input at the time now and returns the actions to perform in order. now
+// must not decrease.
+func (d *Driver) Step(now time.Duration, in Input) []Action {
+	d.actions = nil
+	d.noticePause(now)
+	switch m := in.(type) {
+	case StatusAnswer:
+		d.observe(now, m.Server, m.Status)
+		d.endProbe(m.Server)
+	case ProbeFailed:
+		d.endProbe(m.Server)
+	case Answer:
+		d.observe(now, m.Server, m.Status)
+		d.answered(now, m)
+	case Failed:
+		d.failed(now, m)
+	case Peers:
+		d.live = slices.Clone(m.Live)
+	case PeerReport:
+		d.keepReport(now, m)
+	case Placement:
+		d.placement = m
+	}
+	d.probe(now)
+	d.evaluate(now)
+	d.advance(now)
+	return d.actions
+}
+
+// Primary returns the server that the driver regards as the primary, and its term. It returns
+// false if no primary is known.
+func (d *Driver) Primary() (Server, uint64, bool) {
+	p := d.primary()
+	if p == nil {
+		return Server{}, 0, false
+	}
+	return p.Server, p.status.Promised, true
+}
+
+func (d *Driver) do(a Action) { d.actions = append(d.actions, a) }
+
+func (d *Driver) log(change string, term uint64, server, cause string, now time.Duration) {
+	d.do(LogChange{Change: change, Term: term, Server: server, Cause: cause, Evidence: d.evidence(now)})
+}
+
+func (d *Driver) peer(name string) *peer {
+	for i := range d.peers {
+		if d.peers[i].Name == name {
+			return &d.peers[i]
+		}
+	}
+	return nil
+}
+
+// noticePause discards observations that became stale while the driver was paused. Otherwise a
+// driver that wakes up would suspect every server at once, because none has answered lately.
+func (d *Driver) noticePause(now time.Duration) {
+	paused := d.started && now-d.lastStep > d.timing.PauseDetected
+	gap := now - d.lastStep
+	d.lastStep = now
+	if d.started && !paused {
+		return
+	}
+	d.started = true
+	for i := range d.peers {
+		d.peers[i].answeredAt = now
+		d.peers[i].probing = false
+	}
+	d.noPrimary, d.stall, d.confirmed, d.repair = span{}, span{}, span{}, span{}
+	d.reports = nil
+	if !paused {
+		return
+	}
+	if d.attempt.phase != idle {
+		d.giveUp(now, fmt.Sprintf("driver was paused for %v", gap))
+	}
+}
+
+// observe keeps a status row. Rows from before the last known promise are late answers.
+func (d *Driver) observe(now time.Duration, server string, st Status) {
+	p := d.peer(server)
+	if p == nil || p.known && st.Promised < p.status.Promised {
+		return
+	}
+	p.status, p.known, p.answeredAt = st, true, now
+	if st.Promised > d.highest {
+		d.highest = st.Promised
+		d.settleUntil = now + d.timing.Settle
+	}
+	if st.Role == Primary && st.Promised > d.primaryTerm {
+		d.primaryTerm, d.primaryAt = st.Promised, now
+		d.failures, d.backoff, d.holdAgain = 0, now, now
+		d.log("primary seen", st.Promised, server, "status of the server", now)
+	}
+	if d.unpublished.phase == promoting && st.Role == Primary && server == d.unpublished.chosen &&
+		st.Promised == d.unpublished.term {
+		d.publish(now, d.unpublished, st)
+		d.unpublished = attempt{}
+	}
+}
+
+func (d *Driver) endProbe(server string) {
+	if p := d.peer(server); p != nil {
+		p.probing = false
+	}
+}
+
+// probe sends the status probes that are due. A server has one probe in flight, so that probes
+// do not pile up on a server that does not answer.
+func (d *Driver) probe(now time.Duration) {
+	for i := range d.peers {
+		p := &d.peers[i]
+		wait := d.timing.ProbeEvery
+		if p.probing {
+			wait = d.timing.ProbeLost
+		}
+		if p.probedAt != 0 && now-p.probedAt < wait {
+			continue
+		}
+		p.probedAt, p.probing = max(now, 1), true
+		d.do(Probe{Server: p.Name})
+	}
+}
+
+func (d *Driver) keepReport(now time.Duration, m PeerReport) {
+	d.reports = slices.DeleteFunc(d.reports, func(r report) bool { return r.VM == m.VM })
+	if m.Suspected {
+		d.reports = append(d.reports, report{PeerReport: m, at: now})
+	}
+}
+
+// fresh reports whether the server has answered within the suspicion time.
+func (d *Driver) fresh(p *peer, now time.Duration) bool {
+	return p.known && now-p.answeredAt < d.timing.SuspectAfter
+}
+
+// primary returns the primary of the highest term, or nil if none is known or a majority of
+// the servers has promised a higher term.
+func (d *Driver) primary() *peer {
+	var found *peer
+	for i := range d.peers {
+		p := &d.peers[i]
+		if p.known && p.status.Role == Primary && (found == nil || p.status.Promised > found.status.Promised) {
+			found = p
+		}
+	}
+	if found == nil {
+		return nil
+	}
+	above := 0
+	for _, p := range d.peers {
+		if p.known && p.status.Promised > found.status.Promised {
+			above++
+		}
+	}
+	if above >= Majority(len(d.peers)) {
+		return nil
+	}
+	return found
+}
+
+// rank returns the position of this VM in the rendezvous ranking of the live VMs.
+func (d *Driver) rank() int {
+	own := d.weight(d.cfg.VM)
+	rank := 0
+	for _, vm := range d.live {
+		if w := d.weight(vm.Name); w > own || w == own && vm.Name < d.cfg.VM {
+			rank++
+		}
+	}
+	return rank
+}
+
+func (d *Driver) weight(vm string) uint64 { return xxhash.Sum64String(d.cfg.Group + "\x00" + vm) }
+
+func (d *Driver) rankDelay() time.Duration { return time.Duration(d.rank()) * d.timing.RankDelay }
+
+// evidence describes what the driver knows, for the log and the audit trail.
+func (d *Driver) evidence(now time.Duration) string {
+	var b strings.Builder
+	for i, p := range d.peers {
+		if i > 0 {
+			b.WriteString("; ")
+		}
+		if !p.known {
+			fmt.Fprintf(&b, "%s has not answered", p.Name)
+			continue
+		}
+		st := p.status
+		fmt.Fprintf(&b, "%s %s promised %d held %s %v ago", p.Name, st.Role, st.Promised, st.Held, now-p.answeredAt)
+	}
+	reports := slices.Clone(d.reports)
+	slices.SortFunc(reports, func(x, y report) int { return cmp.Compare(x.VM, y.VM) })
+	for _, r := range reports {
+		fmt.Fprintf(&b, "; %s in %s suspects term %d: %s", r.VM, r.Domain, r.Term, r.Reason)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/promotion/move.go
@@ -0,0 +1,63 @@
+package promotion
+
+import (
+	"slices"
+	"time"
+)
+
+// open reports whether the place of the server is open for a primary.
+func (d *Driver) open(p *peer) bool {
+	return !slices.Contains(d.placement.Withdrawn, p.Domain) && !slices.Contains(d.placement.Leaving, p.Name)
+}
+
+// evaluateMove follows a planned move: new transactions wait while a primary in a closed place
+// drains, for at most HoldLimit. A move that did not happen in that time is tried again after
+// MoveRetry.
+func (d *Driver) evaluateMove(now time.Duration, primary *peer) {
+	due := primary != nil && d.fresh(primary, now) && !d.open(primary) && d.successor(now) != nil
+	if due && !d.misplaced.on {
+		d.log("primary is in a closed place", primary.status.Promised, primary.Name, "operators' placement", now)
+	}
+	d.misplaced.set(due, now)
+	guarded := now-d.primaryAt < d.timing.Guard
+	switch {
+	case d.hold.on && (!due && d.attempt.phase == idle || now-d.hold.since >= d.timing.HoldLimit):
+		d.hold.set(false, now)
+		d.holdAgain = now + d.timing.MoveRetry
+		d.do(HoldWrites{On: false})
+	case !d.hold.on && due && !guarded && now >= d.holdAgain:
+		d.hold.set(true, now)
+		d.do(HoldWrites{On: true})
+	}
+}
+
+// moveDue reports whether the planned move may start: the primary has drained and a successor
+// has caught up, both observed after the hold reached the other VMs, or the drain time is over.
+func (d *Driver) moveDue(now time.Duration, primary *peer) bool {
+	if !d.misplaced.on || !d.hold.on || now-d.hold.since < d.timing.ProbeEvery+d.rankDelay() {
+		return false
+	}
+	if now-d.hold.since >= d.timing.DrainLimit {
+		return true
+	}
+	next := d.successor(now)
+	observed := d.hold.since + d.timing.ProbeEvery
+	return primary.status.Active == 0 && primary.answeredAt >= observed &&
+		next.answeredAt >= observed && next.status.Held.Covers(primary.status.Held)
+}
+
+// successor returns the most advanced server in an open place that could be promoted according
+// to the last answers, or nil.
+func (d *Driver) successor(now time.Duration) *peer {
+	var grants []grant
+	for i := range d.peers {
+		if p := &d.peers[i]; d.fresh(p, now) {
+			grants = append(grants, grant{server: p.Name, held: p.status.Held})
+		}
+	}
+	best, found := d.choose(grants)
+	if !found || !d.open(d.peer(best.server)) {
+		return nil
+	}
+	return d.peer(best.server)
+}
