--- /dev/null
+++ b/internal/zone/zone_test.go
@@ -0,0 +1,191 @@
+package zone
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func withdrawn(names ...string) Orders {
+	var o Orders
+	for _, n := range names {
+		o = o.Withdraw(n, Order{By: "operator"})
+	}
+	return o
+}
+
+func answers(t *Table, now time.Duration, name string) [4]Answer {
+	var a [4]Answer
+	for use := NewCaller; use <= Primary; use++ {
+		a[use] = t.Decide(now, name, use).Answer
+	}
+	return a
+}
+
+// Guards against a withdrawal that stops reads before the primaries have moved, places primaries in
+// the withdrawn domain, or leaves work there.
+func TestWithdrawalOrder(t *testing.T) {
+	is := is.New(t)
+	var table Table
+	is.Equal(answers(&table, 0, "bne"), [4]Answer{Yes, Yes, Yes, Yes})
+	is.Equal(table.Apply(0, 1, withdrawn("bne")), []Action{{MovePrimaries, "bne", 1}})
+	is.Equal(answers(&table, 0, "bne"), [4]Answer{Yes, Wait, Yes, No})
+	is.Equal(table.Decide(0, "bne", NewTransaction).Until, holdLimit)
+	is.Equal(answers(&table, holdLimit, "bne"), [4]Answer{Yes, No, Yes, No})
+	is.Equal(table.Drained(time.Second, "bne", 1), []Action{{StopWork, "bne", 1}})
+	is.Equal(answers(&table, time.Second, "bne"), [4]Answer{No, No, No, No})
+	is.Equal(answers(&table, time.Second, "tsv"), [4]Answer{Yes, Yes, Yes, Yes})
+}
+
+// Guards against new work in a withdrawn domain because a primary cannot be moved or no tick ran.
+func TestDrainingEnds(t *testing.T) {
+	is := is.New(t)
+	var table Table
+	table.Apply(0, 1, withdrawn("bne"))
+	is.Equal(answers(&table, drainLimit, "bne"), [4]Answer{No, No, No, No})
+	is.Equal(len(table.Tick(drainLimit-1)), 0)
+	is.Equal(table.Tick(drainLimit), []Action{{StopWork, "bne", 1}})
+	is.Equal(table.State("bne"), Out)
+}
+
+// Guards against load on a returned domain before its links are open, and against a domain that stays
+// out of service because one of its servers is down.
+func TestReturnOrder(t *testing.T) {
+	is := is.New(t)
+	var table Table
+	table.Apply(0, 1, withdrawn("bne"))
+	table.Drained(0, "bne", 1)
+	is.Equal(table.Apply(1, 2, Orders{}), []Action{{OpenLinks, "bne", 2}})
+	is.Equal(answers(&table, 1, "bne"), [4]Answer{No, No, No, No})
+	is.Equal(table.LinksOpened("bne", 2), []Action{{TakeLoad, "bne", 2}})
+	is.Equal(answers(&table, 1, "bne"), [4]Answer{Yes, Yes, Yes, Yes})
+
+	table.Apply(2, 3, withdrawn("bne"))
+	table.Drained(2, "bne", 3)
+	table.Apply(3, 4, Orders{})
+	is.Equal(len(table.Tick(3+warmLimit-1)), 0)
+	is.Equal(table.Tick(3+warmLimit), []Action{{TakeLoad, "bne", 4}})
+}
+
+// Guards against a domain that returns in the middle of its withdrawal and is then drained by the
+// progress of that withdrawal, or takes load without links.
+func TestReturnDuringWithdrawal(t *testing.T) {
+	run := func(acceptOld bool) State {
+		table := Table{acceptOldProgress: acceptOld}
+		table.Apply(0, 1, withdrawn("bne"))
+		table.Apply(1, 2, Orders{})
+		table.Apply(2, 3, withdrawn("bne"))
+		table.Drained(3, "bne", 1) // late report about the first withdrawal
+		return table.State("bne")
+	}
+	is := is.New(t)
+	is.Equal(run(false), Draining)
+	is.Equal(run(true), Out)
+
+	var table Table
+	table.Apply(0, 1, withdrawn("bne"))
+	is.Equal(table.Apply(1, 2, Orders{}), []Action{{TakeLoad, "bne", 2}}) // links never closed
+	table.Apply(2, 3, withdrawn("bne"))
+	table.Drained(3, "bne", 3)
+	table.Apply(4, 4, Orders{})
+	table.Apply(5, 5, withdrawn("bne")) // withdrawn while warming
+	is.Equal(table.State("bne"), Draining)
+	is.Equal(table.Apply(6, 6, Orders{}), []Action{{OpenLinks, "bne", 6}}) // links were not open yet
+	is.Equal(len(table.LinksOpened("bne", 4)), 0)
+}
+
+// Guards against VMs that disagree, or follow an earlier operator, after versions arrived in
+// different orders.
+func TestHighestVersionDecides(t *testing.T) {
+	follows := func(table *Table, orders []Orders, arrival []int) bool {
+		now := time.Duration(0)
+		for _, i := range arrival {
+			table.Apply(now, uint64(i+1), orders[i])
+			now += time.Second
+			table.Tick(now)
+		}
+		now += drainLimit + warmLimit
+		table.Tick(now)
+		last := orders[len(orders)-1]
+		for _, name := range []string{"bne", "tsv"} {
+			_, out := last.Withdrawn[name]
+			if out != (table.State(name) == Out) {
+				return false
+			}
+		}
+		return true
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 6).Draw(t, "versions")
+		choices := []Orders{{}, withdrawn("bne"), withdrawn("tsv"), withdrawn("bne", "tsv")}
+		orders := rapid.SliceOfN(rapid.SampledFrom(choices), n, n).Draw(t, "orders")
+		indexes := make([]int, n)
+		for i := range indexes {
+			indexes[i] = i
+		}
+		arrival := rapid.Permutation(indexes).Draw(t, "arrival")
+		if !follows(&Table{}, orders, arrival) {
+			t.Fatal("the state does not follow the highest version")
+		}
+	})
+	is.New(t).True(!follows(&Table{acceptOldVersion: true}, []Orders{withdrawn("bne"), {}}, []int{1, 0}))
+}
+
+// Guards against a withdrawal that stops the writes of a group, also when two operators withdraw
+// different domains at once: the second is based on the first and is checked again.
+func TestCheckWithdraw(t *testing.T) {
+	is := is.New(t)
+	groups := []Group{
+		{"g1", []Server{{"a", "bne"}, {"b", "tsv"}, {"c", "cns"}}},
+		{"g2", []Server{{"d", "tsv"}, {"e", "cns"}, {"f", "too"}}},
+	}
+	is.Equal(len(CheckWithdraw(groups, Orders{}, Orders{}, "bne")), 0)
+	is.Equal(len(CheckWithdraw(groups, Orders{}, Orders{}, "tsv")), 0)
+	shortage := CheckWithdraw(groups, withdrawn("bne"), Orders{}, "tsv")
+	is.Equal(shortage, []Shortage{{"g1", 1, 2}})
+	is.Equal(shortage[0].String(), "group g1 would keep 1 servers in service but needs 2")
+	is.Equal(CheckWithdraw(groups, Orders{}, withdrawn("c"), "bne"), []Shortage{{"g1", 1, 2}})
+	is.Equal(CheckLeave(groups, withdrawn("bne"), Orders{}, "b"), []Shortage{{"g1", 1, 2}})
+	is.Equal(len(CheckLeave(groups, withdrawn("bne"), Orders{}, "d")), 0)
+	// A group that lost its majority earlier does not block withdrawals that do not concern it.
+	is.Equal(len(CheckWithdraw(groups, withdrawn("bne", "cns"), Orders{}, "elsewhere")), 0)
+}
+
+// Guards against work on a leaving server in a domain that is in service, and the reverse.
+func TestStricterDecisionHolds(t *testing.T) {
+	is := is.New(t)
+	var domains, targets Table
+	targets.Apply(0, 1, withdrawn("s1"))
+	decide := func(server string, use Use) Answer {
+		return DecideServer(time.Second, &domains, &targets, "bne", server, use).Answer
+	}
+	is.Equal(decide("s1", NewTransaction), Wait)
+	is.Equal(decide("s1", Primary), No)
+	is.Equal(decide("s2", NewTransaction), Yes)
+	domains.Apply(0, 1, withdrawn("bne"))
+	domains.Drained(0, "bne", 1)
+	is.Equal(decide("s1", NewTransaction), No)
+	is.Equal(decide("s2", ReplicaRead), No)
+}
+
+// Guards against orders that change when they are stored, and against a copy that shares state with
+// the orders that an update is based on.
+func TestOrdersRoundTrip(t *testing.T) {
+	is := is.New(t)
+	o := withdrawn("bne", "tsv")
+	value, err := o.Encode()
+	is.NoErr(err)
+	parsed, err := ParseOrders(value)
+	is.NoErr(err)
+	is.Equal(parsed, o)
+	is.Equal(o.Return("bne"), withdrawn("tsv"))
+	is.Equal(len(o.Withdrawn), 2)
+	_, err = ParseOrders([]byte("["))
+	is.True(err != nil)
+	empty, err := ParseOrders(nil)
+	is.NoErr(err)
+	is.Equal(len(empty.Withdrawn), 0)
+	is.Equal(len(empty.Return("bne").Withdrawn), 0)
+}
