--- a/internal/tomltext/document.go
+++ b/internal/tomltext/document.go
@@ -32,6 +32,7 @@
 	root   *node
 	lines  lineIndex
 	faults []Fault
+	known  map[Fault]bool  // the faults, to report each once
 	keys   map[string]bool // path of every key that was asked for
 }
 
@@ -40,12 +41,17 @@
 	d := &Document{
 		root:  newTable(1),
 		lines: indexLines(text),
+		known: map[Fault]bool{},
 		keys:  map[string]bool{},
 	}
 	if len(text) > MaxTextBytes {
 		d.Fault(1, fmt.Sprintf("keep the text below %d bytes", MaxTextBytes), "the text has %d bytes", len(text))
 		return d, false
 	}
+	if offset, tooDeep := nestedTooDeep(text); tooDeep {
+		d.Fault(d.lines.at(offset), "nest them less", "more than %d arrays, tables or parts of a key are nested", maxNesting)
+		return d, false
+	}
 	if !d.build(text) {
 		return d, false
 	}
@@ -60,11 +66,10 @@
 		Problem: fmt.Sprintf(problem, args...),
 		Remedy:  remedy,
 	}
-	for _, known := range d.faults {
-		if known == f {
-			return
-		}
+	if d.known[f] {
+		return
 	}
+	d.known[f] = true
 	d.faults = append(d.faults, f)
 }
 
@@ -194,7 +199,7 @@
 	if p.Error() == nil {
 		return true
 	}
-	d.faults = nil
+	d.faults, d.known = nil, map[Fault]bool{}
 	d.checkSyntax(text, "correct this line; the other lines are checked after that")
 	if len(d.faults) == 0 {
 		d.Fault(1, "write the text in TOML", "the text is not valid TOML: %v", p.Error())
