--- a/internal/contract/faults_test.go
+++ b/internal/contract/faults_test.go
@@ -51,6 +51,12 @@
 // mark stands on the lines of a text that must have a fault, once for each fault.
 const mark = "#F"
 
+// restOfA and restOfB follow the addresses of two servers.
+const (
+	restOfA = `, domain = "bne", slots = 3, connections = 20 },`
+	restOfB = `, domain = "tsv", slots = 3, connections = 20 },`
+)
+
 // faultCases replace a part of the valid text. Each problem must be reported on a marked line.
 var faultCases = []struct {
 	name, old, new string
@@ -98,17 +104,18 @@
 		[]string{"connections = 0 is out of range"}},
 	{"more slots than connections", `"bne", slots = 3, connections = 20 },`, `"bne", slots = 21, connections = 20 }, #F`,
 		[]string{"more slots (21) than connections (20)"}},
-	{"host name", `"127.0.0.1:1"`, `"db.example:1"`, []string{"not IP:port"}},
-	{"address without port", `"127.0.0.1:1"`, `"127.0.0.1"`, []string{"not IP:port"}},
-	{"port 0", `"127.0.0.1:1"`, `"127.0.0.1:0"`, []string{"port 0"}},
-	{"port out of range", `"127.0.0.1:1"`, `"127.0.0.1:65536"`, []string{"not IP:port"}},
-	{"unspecified address", `"127.0.0.1:1"`, `"0.0.0.0:1"`, []string{"not an address that can be reached"}},
-	{"duplicate address", `"127.0.0.1:1"`, `"127.0.0.1:2"`, []string{`address "127.0.0.1:2" appears twice`}},
-	{"duplicate address in another form", `"127.0.0.1:1"`, `"[::ffff:127.0.0.1]:2"`, []string{`address "127.0.0.1:2" appears twice`}},
+	{"host name", `"127.0.0.1:1"` + restOfA, `"db.example:1"` + restOfA + mark, []string{"not IP:port"}},
+	{"address without port", `"127.0.0.1:1"` + restOfA, `"127.0.0.1"` + restOfA + mark, []string{"not IP:port"}},
+	{"port 0", `"127.0.0.1:1"` + restOfA, `"127.0.0.1:0"` + restOfA + mark, []string{"port 0"}},
+	{"port out of range", `"127.0.0.1:1"` + restOfA, `"127.0.0.1:65536"` + restOfA + mark, []string{"not IP:port"}},
+	{"unspecified address", `"127.0.0.1:1"` + restOfA, `"0.0.0.0:1"` + restOfA + mark, []string{"not an address that can be reached"}},
+	{"duplicate address", `"127.0.0.1:2"` + restOfB, `"127.0.0.1:1"` + restOfB + mark, []string{`address "127.0.0.1:1" appears twice`}},
+	{"duplicate address in another form", `"127.0.0.1:2"` + restOfB, `"[::ffff:127.0.0.1]:1"` + restOfB + mark,
+		[]string{`address "127.0.0.1:1" appears twice`}},
 	{"duplicate domain", `name = "tsv"`, "name = \"tsv\"\n[[domain]]\nname = \"tsv\" #F", []string{`failure domain "tsv" appears twice`}},
 	{"duplicate group", "[[service.route]]\nname = \"swaps\"", "[[service.group]]\nname = \"g-1\" #F\nserver = [] #F\n[[service.route]]\nname = \"swaps\"",
 		[]string{`group "g-1" appears twice`, "has no servers"}},
-	{"duplicate server", `name = "b", address`, `name = "a", address`, []string{`server "a" appears twice`}},
+	{"duplicate server", `"b", address = "127.0.0.1:2"` + restOfB, `"a", address = "127.0.0.1:2"` + restOfB + mark, []string{`server "a" appears twice`}},
 	{"duplicate route", `name = "lookup"`, `name = "swaps" #F`, []string{`route "swaps" appears twice`}},
 	{"duplicate workspace", `name = "two"`, `name = "one" #F`, []string{`workspace "one" appears twice`}},
 	{"duplicate service", "[[workspace]]\nname = \"one\"", "[[service]] #F #F\nname = \"ledger\" #F\n[[workspace]]\nname = \"one\"",
@@ -125,8 +132,8 @@
 		[]string{`workspace "two" has no group`}},
 	{"even number of servers", "server = [", "server = [ #F\n{ name = \"d\", address = \"127.0.0.1:4\", domain = \"bne\", slots = 3, connections = 20 },",
 		[]string{"even number of servers (4)"}},
-	{"majority in one domain", `domain = "tsv", slots`, `domain = "bne", slots`,
-		[]string{`majority of its servers (2 of 3) in failure domain "bne"`}},
+	{"majority in one domain", "server = [\n  { name = \"a\", address = \"127.0.0.1:1\"" + restOfA, "server = [ #F\n  { name = \"a\", address = \"127.0.0.1:1\"" + restOfB,
+		[]string{`majority of its servers (2 of 3) in failure domain "tsv"`}},
 	{"no servers", "server = [", "server = [] #F\nold = [ #F", []string{"has no servers", `unknown key "old"`}},
 	{"open route without workspace", `max_age = "1s"`, `open = true #F`, []string{"open but has no workspace"}},
 	{"workspace of a route that is not open", `max_age = "1s"`, `workspace = "one" #F`, []string{"not open"}},
@@ -155,9 +162,6 @@
 			is := is.New(t)
 			is.True(strings.Contains(valid, c.old)) // the case replaces a part of the valid text
 			text := strings.Replace(valid, c.old, c.new, 1)
-			if !strings.Contains(c.new, mark) {
-				text = markLine(text, c)
-			}
 			got, faults := Parse([]byte(text))
 			is.True(got == nil)
 			wantMarks(t, text, faults)
@@ -170,23 +174,6 @@
 	}
 }
 
-// markLine marks the place of a fault where the replaced part ends inside of a line.
-func markLine(text string, c struct {
-	name, old, new string
-	problems       []string
-}) string {
-	lines := strings.Split(text, "\n")
-	at := strings.Count(valid[:strings.Index(valid, c.old)], "\n")
-	if c.name == "duplicate address" || c.name == "duplicate address in another form" {
-		at++ // the second occurrence is the fault
-	}
-	if c.name == "majority in one domain" {
-		at = strings.Count(valid[:strings.Index(valid, "server = [")], "\n")
-	}
-	lines[at] += " " + mark
-	return strings.Join(lines, "\n")
-}
-
 // wantMarks fails the test unless each line has as many faults as marks.
 func wantMarks(t *testing.T, text string, faults []Fault) {
 	t.Helper()
@@ -238,6 +225,18 @@
 	is.Equal(faults[0].Line, 1)
 }
 
+// Guards against an open route whose requests have no group to run on.
+func TestOpenRouteOfWorkspaceWithoutTheService(t *testing.T) {
+	is := is.New(t)
+	second := strings.NewReplacer(`"ledger"`, `"second"`, `"g-1"`, `"g-2"`, `"a"`, `"d"`, `"b"`, `"e"`, `"c"`, `"f"`, "127.0.0.1", "127.0.0.2",
+		`max_age = "1s"`, "open = true\nworkspace = \"one\" "+mark)
+	start, end := strings.Index(valid, "[[service]]"), strings.Index(valid, "[[workspace]]")
+	text := valid + second.Replace(valid[start:end])
+	_, faults := Parse([]byte(text))
+	wantMarks(t, text, faults)
+	is.True(reported(faults, `workspace "one" of the open route has no group of service "second"`))
+}
+
 // Guards against suggestions that do not help.
 func TestSuggestions(t *testing.T) {
 	is := is.New(t)
