--- a/internal/contract/faults_test.go
+++ b/internal/contract/faults_test.go
@@ -92,6 +92,7 @@
 	{"inline table extended", `groups = { ledger = "g-1" }`, "groups = { ledger = \"g-1\" }\ngroups.other = \"g-1\" #F", []string{`"groups" appears twice`}},
 	{"table opened after dotted keys", "[[workspace]]\nname = \"two\"", "a.b = 1 #F\n[workspace.a] #F\n[[workspace]]\nname = \"two\"",
 		[]string{`"a" appears twice`, `unknown key "a"`}},
+	{"rate above the limit", `"100/s"`, `"1000001/s" #F`, []string{"out of range"}},
 	{"zero burst", `burst = 10`, `burst = 0 #F`, []string{"out of range"}},
 	{"negative burst", `burst = 10`, `burst = -1 #F`, []string{"out of range"}},
 	{"burst with a fraction", `burst = 10`, `burst = 1.5 #F`, []string{"number with a fraction"}},
@@ -237,6 +238,20 @@
 	is.True(reported(faults, `workspace "one" of the open route has no group of service "second"`))
 }
 
+// Guards against groups whose majority is so large that each write waits for many servers.
+func TestGroupWithTooManyServers(t *testing.T) {
+	is := is.New(t)
+	more := "server = [ " + mark + "\n"
+	for i := range MaxServers - 1 {
+		more += fmt.Sprintf("{ name = \"x%d\", address = \"127.0.0.2:%d\", domain = \"%s\", slots = 1, connections = 1 },\n",
+			i, i+1, []string{"bne", "tsv", "cns"}[i%3])
+	}
+	text := strings.Replace(valid, "server = [\n", more, 1)
+	_, faults := Parse([]byte(text))
+	wantMarks(t, text, faults)
+	is.True(reported(faults, `group "g-1" has 11 servers`))
+}
+
 // Guards against suggestions that do not help.
 func TestSuggestions(t *testing.T) {
 	is := is.New(t)
--- a/internal/settings/parse_test.go
+++ b/internal/settings/parse_test.go
@@ -78,6 +78,7 @@
 		{`url = "http://127.0.0.1:3/"`, `url = "ftp://127.0.0.1:3" #F`, "not an http or https URL"},
 		{`url = "http://127.0.0.1:3/"`, `url = "http://platform:3" #F`, "not an IP address"},
 		{`url = "http://127.0.0.1:3/"`, `url = "http://127.0.0.1:3?x=1" #F`, "a query"},
+		{`url = "http://127.0.0.1:3/"`, `url = "http://me:pw@127.0.0.1:3" #F`, "has a user"},
 		{`[target]`, "[limits]\nlogin_timeout = 5 #F\n[target]", "is an integer"},
 		{`[target]`, "[limits]\nmax_connections = \"5\" #F\n[target]", "is a string"},
 		{`[target]`, "[limits]\nstatement_timeout = \"31s\" #F\n[target]", "interrupt statements"},
