--- /dev/null
+++ b/internal/daemon/rates.go
@@ -0,0 +1,192 @@
+package daemon
+
+import (
+	"context"
+	"math/rand"
+	"strconv"
+	"sync"
+	"time"
+
+	"siskinrouter/internal/catalog"
+	"siskinrouter/internal/contract"
+	"siskinrouter/internal/fleet"
+	"siskinrouter/internal/grant"
+	"siskinrouter/internal/machine"
+	"siskinrouter/internal/verdict"
+)
+
+const (
+	// admitWait is the longest time that a request waits for tokens, which covers a loan from a VM in
+	// another failure domain.
+	admitWait  = 100 * time.Millisecond
+	admitPause = 5 * time.Millisecond // between two attempts to be admitted
+	lendWait   = 500 * time.Millisecond
+)
+
+// rates is the duty that keeps each workspace within its rate and burst.
+type rates struct {
+	d       *Daemon
+	mu      sync.Mutex
+	manager *grant.Manager
+	wake    chan struct{}
+	known   map[string]contract.Workspace
+}
+
+func newRates(d *Daemon, self machine.VM, seed int64) *rates {
+	return &rates{
+		d:       d,
+		manager: grant.NewManager(runOf(self), self.Domain, rand.New(rand.NewSource(seed))),
+		wake:    make(chan struct{}, 1),
+		known:   make(map[string]contract.Workspace),
+	}
+}
+
+// runOf returns the run of a VM as the grant package names it. An incarnation that is not a number
+// belongs to no run of ours and owns nothing.
+func runOf(v machine.VM) grant.VM {
+	n, err := strconv.ParseUint(v.Incarnation, 10, 64)
+	if err != nil {
+		return grant.VM{}
+	}
+	return grant.VM{Name: v.Name, Incarnation: n}
+}
+
+// setWorkspaces puts the rates of a contract into force.
+func (r *rates) setWorkspaces(c *contract.Contract) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for name, w := range c.Workspaces {
+		if old, ok := r.known[name]; !ok || old.Rate != w.Rate || old.Burst != w.Burst {
+			r.manager.SetWorkspace(r.d.now(), name, w.Rate, w.Burst)
+		}
+	}
+	for name := range r.known {
+		if _, ok := c.Workspaces[name]; !ok {
+			r.manager.RemoveWorkspace(r.d.now(), name)
+		}
+	}
+	r.known = c.Workspaces
+}
+
+// setOwners puts an owners object into force.
+func (r *rates) setOwners(o catalog.Object, domains int) error {
+	owners, err := decodeOwners(o, domains)
+	if err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.manager.SetOwners(r.d.now(), owners)
+	return nil
+}
+
+// admit charges one request, waiting a short time for tokens.
+func (r *rates) admit(ctx context.Context, w contract.Workspace) error {
+	ok, wait, known := r.try(w.Name, true)
+	if ok {
+		return nil
+	}
+	if !known {
+		return verdict.Errorf(verdict.NotRun, verdict.StateInvalidAuth, "workspace %q is not configured", w.Name)
+	}
+	r.poke()
+	ctx, cancel := context.WithTimeout(ctx, admitWait)
+	defer cancel()
+	for ctx.Err() == nil {
+		sleep(ctx, min(max(wait, time.Millisecond), admitPause))
+		if ok, wait, _ = r.try(w.Name, false); ok {
+			return nil
+		}
+	}
+	return verdict.Errorf(verdict.NotRun, verdict.StateRateExceeded,
+		"workspace %q exceeds its rate of %g requests per second with burst %g; try again later", w.Name, w.Rate, w.Burst)
+}
+
+func (r *rates) try(workspace string, first bool) (ok bool, wait time.Duration, known bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if first {
+		return r.manager.Admit(r.d.now(), workspace, 1)
+	}
+	return r.manager.AdmitAgain(r.d.now(), workspace, 1)
+}
+
+func (r *rates) poke() {
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+// run moves shares to where demand is until ctx ends.
+func (r *rates) run(ctx context.Context) error {
+	tick := time.NewTicker(grant.PollInterval)
+	defer tick.Stop()
+	peersAt := time.Duration(-1)
+	for {
+		if now := r.d.now(); peersAt < 0 || now-peersAt > time.Second {
+			peersAt = now
+			r.setPeers()
+		}
+		r.poll(ctx)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		case <-r.wake:
+		}
+	}
+}
+
+func (r *rates) setPeers() {
+	var peers []grant.Peer
+	for _, v := range r.d.members.live() {
+		if v.Name != r.d.self.Name {
+			peers = append(peers, grant.Peer{VM: runOf(v), Domain: v.Domain})
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.manager.SetPeers(peers)
+}
+
+func (r *rates) poll(ctx context.Context) {
+	r.mu.Lock()
+	requests := r.manager.Poll(r.d.now())
+	r.mu.Unlock()
+	for _, req := range requests {
+		go r.borrow(ctx, req)
+	}
+}
+
+func (r *rates) borrow(ctx context.Context, req grant.BorrowRequest) {
+	ctx, cancel := context.WithTimeout(ctx, lendWait)
+	defer cancel()
+	var peer machine.VM
+	var found bool
+	r.d.members.with(func(s *machine.Members) { peer, found = s.Get(req.To.Name) })
+	var reply grant.BorrowReply
+	err := fleet.ErrMismatch
+	if found {
+		reply, err = r.d.peers.Peer(peer.Address).Borrow(ctx, req)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err != nil {
+		r.manager.Unreachable(r.d.now(), req.To)
+		return
+	}
+	r.manager.HandleReply(r.d.now(), reply)
+}
+
+// Borrow implements fleet.Handler.
+func (h *handler) Borrow(_ context.Context, req grant.BorrowRequest) (grant.BorrowReply, error) {
+	r := h.d.rates
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	reply, ok := r.manager.HandleRequest(h.d.now(), req)
+	if !ok {
+		return reply, machine.ErrOldIncarnation
+	}
+	return reply, nil
+}
--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -13,6 +13,7 @@
 	"connectrpc.com/connect"
 
 	"siskinrouter/internal/fleet/fleetpb"
+	"siskinrouter/internal/grant"
 	"siskinrouter/internal/machine"
 	"siskinrouter/internal/platform"
 	"siskinrouter/internal/verdict"
@@ -119,8 +120,12 @@
 }
 
 func newPeer(address string, peers *Peers) *Peer {
+	dial := peers.opts.Dial
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: CallTimeout}).DialContext
+	}
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: CallTimeout}).DialContext,
+		DialContext:         dial,
 		TLSHandshakeTimeout: CallTimeout,
 		IdleConnTimeout:     clientIdleTimeout,
 		MaxConnsPerHost:     1,
@@ -320,15 +325,15 @@
 }
 
 // Borrow asks the peer for loans. The lifetime of a loan counts from before this call.
-func (p *Peer) Borrow(ctx context.Context, req BorrowRequest) ([]Loan, error) {
+func (p *Peer) Borrow(ctx context.Context, req grant.BorrowRequest) (grant.BorrowReply, error) {
 	id := p.nextID()
 	msg := borrowToPB(req)
 	msg.RequestId = id
 	res, err := call(ctx, p, "Borrow", id, verdict.NotRun, msg, p.client.Borrow)
 	if err != nil {
-		return nil, err
+		return grant.BorrowReply{}, err
 	}
-	return mapped(res.GetEntries(), loanFromPB), nil
+	return borrowedFromPB(res), nil
 }
 
 // Cancel asks the peer to cancel the statement on a caller connection.
--- a/internal/fleet/convert.go
+++ b/internal/fleet/convert.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"siskinrouter/internal/fleet/fleetpb"
+	"siskinrouter/internal/grant"
 	"siskinrouter/internal/machine"
 	"siskinrouter/internal/platform"
 )
@@ -110,37 +111,63 @@
 	}
 }
 
-func borrowToPB(r BorrowRequest) *fleetpb.BorrowRequest {
-	entry := func(w WantedShare) *fleetpb.BorrowRequest_Entry {
-		return &fleetpb.BorrowRequest_Entry{Workspace: w.Workspace, Share: w.Share}
-	}
+func runToPB(v grant.VM) *fleetpb.RunID {
+	return &fleetpb.RunID{Name: v.Name, Incarnation: v.Incarnation}
+}
+
+func runFromPB(v *fleetpb.RunID) grant.VM {
+	return grant.VM{Name: v.GetName(), Incarnation: v.GetIncarnation()}
+}
+
+func borrowToPB(r grant.BorrowRequest) *fleetpb.BorrowRequest {
 	return &fleetpb.BorrowRequest{
-		Borrower: r.Borrower, Incarnation: r.Incarnation, Entries: mapped(r.Wanted, entry),
+		From: runToPB(r.From), To: runToPB(r.To), Asks: mapped(r.Asks, askToPB), Recalls: r.Recalls,
+	}
+}
+
+func borrowFromPB(r *fleetpb.BorrowRequest) grant.BorrowRequest {
+	return grant.BorrowRequest{
+		From: runFromPB(r.GetFrom()), To: runFromPB(r.GetTo()),
+		Asks: mapped(r.GetAsks(), askFromPB), Recalls: r.GetRecalls(),
 	}
 }
 
-func borrowFromPB(r *fleetpb.BorrowRequest) BorrowRequest {
-	entry := func(e *fleetpb.BorrowRequest_Entry) WantedShare {
-		return WantedShare{Workspace: e.GetWorkspace(), Share: e.GetShare()}
+func askToPB(a grant.Ask) *fleetpb.BorrowRequest_Ask {
+	return &fleetpb.BorrowRequest_Ask{
+		Workspace: a.Workspace, Seq: a.Seq, Loan: a.Loan, Keep: int64(a.Keep), MicroTokens: a.Tokens,
+		Want: int64(a.Want), Have: int64(a.Have), Need: int64(a.Need),
 	}
-	return BorrowRequest{
-		Borrower: r.GetBorrower(), Incarnation: r.GetIncarnation(), Wanted: mapped(r.GetEntries(), entry),
+}
+
+func askFromPB(a *fleetpb.BorrowRequest_Ask) grant.Ask {
+	return grant.Ask{
+		Workspace: a.GetWorkspace(), Seq: a.GetSeq(), Loan: a.GetLoan(), Keep: grant.Share(a.GetKeep()),
+		Tokens: a.GetMicroTokens(), Want: grant.Share(a.GetWant()), Have: grant.Share(a.GetHave()),
+		Need: grant.Share(a.GetNeed()),
+	}
+}
+
+func borrowedToPB(r grant.BorrowReply) *fleetpb.BorrowResponse {
+	return &fleetpb.BorrowResponse{From: runToPB(r.From), To: runToPB(r.To), Grants: mapped(r.Grants, grantToPB)}
+}
+
+func borrowedFromPB(r *fleetpb.BorrowResponse) grant.BorrowReply {
+	return grant.BorrowReply{
+		From: runFromPB(r.GetFrom()), To: runFromPB(r.GetTo()), Grants: mapped(r.GetGrants(), grantFromPB),
 	}
 }
 
-// loanToPB rounds the lifetime down, so that the borrower never counts longer than the lender.
-func loanToPB(l Loan) *fleetpb.BorrowResponse_Entry {
-	ms := min(max(0, l.Lifetime), time.Hour) / time.Millisecond
-	return &fleetpb.BorrowResponse_Entry{
-		Workspace: l.Workspace, Share: l.Share, MicroTokens: l.MicroTokens, LifetimeMs: uint32(ms),
-		Sequence: l.Sequence,
+func grantToPB(g grant.Grant) *fleetpb.BorrowResponse_Grant {
+	return &fleetpb.BorrowResponse_Grant{
+		Workspace: g.Workspace, Seq: g.Seq, Loan: g.Loan, Amount: int64(g.Amount), MicroTokens: g.Tokens,
+		Spare: int64(g.Spare),
 	}
 }
 
-func loanFromPB(e *fleetpb.BorrowResponse_Entry) Loan {
-	return Loan{
-		Workspace: e.GetWorkspace(), Share: e.GetShare(), MicroTokens: e.GetMicroTokens(),
-		Lifetime: milliseconds(uint64(e.GetLifetimeMs())), Sequence: e.GetSequence(),
+func grantFromPB(g *fleetpb.BorrowResponse_Grant) grant.Grant {
+	return grant.Grant{
+		Workspace: g.GetWorkspace(), Seq: g.GetSeq(), Loan: g.GetLoan(), Amount: grant.Share(g.GetAmount()),
+		Tokens: g.GetMicroTokens(), Spare: grant.Share(g.GetSpare()),
 	}
 }
 
--- a/internal/fleet/messages.go
+++ b/internal/fleet/messages.go
@@ -4,8 +4,8 @@
 
 import (
 	"context"
-	"time"
 
+	"siskinrouter/internal/grant"
 	"siskinrouter/internal/machine"
 	"siskinrouter/internal/platform"
 )
@@ -19,8 +19,8 @@
 	Sync(ctx context.Context, hello machine.Hello) (SyncAnswer, error)
 	// Push stores objects and returns the announced ones that this VM lacks.
 	Push(ctx context.Context, objects []platform.Object, announced []machine.Version) (wanted []string, err error)
-	// Borrow lends shares; a workspace without a loan is absent from the answer.
-	Borrow(ctx context.Context, req BorrowRequest) ([]Loan, error)
+	// Borrow lends shares. It fails if the request is for another run of this VM.
+	Borrow(ctx context.Context, req grant.BorrowRequest) (grant.BorrowReply, error)
 	// Cancel cancels the statement that runs on a caller connection. An unknown link or a wrong
 	// secret is ignored, as PostgreSQL does.
 	Cancel(ctx context.Context, link uint64, secret []byte) error
@@ -37,28 +37,6 @@
 	More    bool // objects were left out because of the bound
 }
 
-// BorrowRequest asks for loans.
-type BorrowRequest struct {
-	Borrower    string // VM name
-	Incarnation string
-	Wanted      []WantedShare
-}
-
-// WantedShare is the share that a borrower asks for.
-type WantedShare struct {
-	Workspace string
-	Share     uint64 // units of 1/2^20 of the workspace's rate and burst
-}
-
-// Loan is a granted share.
-type Loan struct {
-	Workspace   string
-	Share       uint64 // units of 1/2^20 of the workspace's rate and burst
-	MicroTokens int64  // millionths of a request handed over with the share
-	Lifetime    time.Duration
-	Sequence    uint64 // grows with each loan of the lender's incarnation
-}
-
 // Status is one VM's view of the fleet.
 type Status struct {
 	VM       machine.VM
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -41,6 +41,8 @@
 	// TLS is the certificate configuration of a server, or the verification of a client. Nil means
 	// cleartext HTTP/2.
 	TLS *tls.Config
+	// Dial opens connections to other VMs; nil for the default.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // ErrNoKey means that no fleet key is configured.
@@ -156,14 +158,13 @@
 }
 
 func (s *service) Borrow(ctx context.Context, req *connect.Request[fleetpb.BorrowRequest]) (*connect.Response[fleetpb.BorrowResponse], error) {
-	loans, err := s.h.Borrow(ctx, borrowFromPB(req.Msg))
+	reply, err := s.h.Borrow(ctx, borrowFromPB(req.Msg))
 	if err != nil {
 		return nil, codeOf(err)
 	}
-	return connect.NewResponse(&fleetpb.BorrowResponse{
-		RequestId: req.Msg.GetRequestId(),
-		Entries:   mapped(loans, loanToPB),
-	}), nil
+	res := borrowedToPB(reply)
+	res.RequestId = req.Msg.GetRequestId()
+	return connect.NewResponse(res), nil
 }
 
 func (s *service) Cancel(ctx context.Context, req *connect.Request[fleetpb.CancelRequest]) (*connect.Response[fleetpb.CancelResponse], error) {
--- a/internal/link/fifo.go
+++ b/internal/link/fifo.go
@@ -49,3 +49,6 @@
 
 // Release does nothing, because a FIFO keeps no account of service.
 func (q *FIFO) Release(time.Time, *Waiter, time.Duration) {}
+
+// Resize does nothing, because the pool itself bounds the links in use.
+func (q *FIFO) Resize(int) {}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -21,6 +21,8 @@
 	Password string
 	Database string
 	Client   string // application_name, the name of the VM
+	// Dial opens network connections; nil for the default.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // maxStatements bounds the prepared statements that a link keeps at its target.
@@ -35,6 +37,7 @@
 	pid    uint32
 	secret []byte
 	addr   string
+	dial   func(ctx context.Context, network, address string) (net.Conn, error)
 
 	statements map[string]struct{} // names of prepared statements that the target has
 	order      []string            // the same names, oldest first
@@ -55,6 +58,7 @@
 		front:      hijacked.Frontend,
 		pid:        hijacked.PID,
 		secret:     hijacked.SecretKey,
+		dial:       cred.dialFunc(),
 		addr:       address,
 		statements: make(map[string]struct{}),
 	}, nil
@@ -85,10 +89,20 @@
 	cfg.Database = cred.Database
 	cfg.RuntimeParams = map[string]string{"application_name": cred.Client}
 	cfg.Fallbacks = nil
-	cfg.DialFunc = (&net.Dialer{KeepAlive: 30 * time.Second}).DialContext
+	cfg.DialFunc = cred.dialFunc()
 	return pgconn.ConnectConfig(ctx, cfg)
 }
 
+// keepAlive is the interval of TCP keep-alive probes.
+const keepAlive = 30 * time.Second
+
+func (c Credentials) dialFunc() func(ctx context.Context, network, address string) (net.Conn, error) {
+	if c.Dial != nil {
+		return c.Dial
+	}
+	return (&net.Dialer{KeepAlive: keepAlive}).DialContext
+}
+
 // Send queues a message until Flush.
 func (l *Link) Send(msg pgproto3.FrontendMessage) error {
 	out, err := msg.Encode(l.out)
@@ -145,8 +159,7 @@
 // reused afterwards, because the cancellation may reach a later statement.
 func (l *Link) Cancel(ctx context.Context) error {
 	l.cancelled.Store(true)
-	var d net.Dialer
-	conn, err := d.DialContext(ctx, "tcp", l.addr)
+	conn, err := l.dial(ctx, "tcp", l.addr)
 	if err != nil {
 		return fmt.Errorf("cancel at target %s: %w", l.Server, err)
 	}
--- a/internal/link/pool.go
+++ b/internal/link/pool.go
@@ -25,6 +25,8 @@
 	Pop(now time.Time) (next *Waiter, shed []*Waiter)
 	// Remove drops a waiter that gave up.
 	Remove(w *Waiter)
+	// Resize changes how many requests may hold a link at once.
+	Resize(links int)
 	// Release records the end of a request and how long it held its link.
 	Release(now time.Time, w *Waiter, held time.Duration)
 }
@@ -237,6 +239,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.limit = limit
+	p.queue.Resize(limit)
 	p.dispatch()
 }
 
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -87,6 +87,7 @@
 		x.verify = true
 		x.demand = x.r.access.Group.Demand()
 	}
+	x.r.sent = int64(len(x.r.batch.buf))
 	if err := x.sendAll(); err != nil {
 		return x.linkError(err)
 	}
--- a/internal/proxy/policy.go
+++ b/internal/proxy/policy.go
@@ -6,6 +6,7 @@
 	"context"
 
 	"siskinrouter/internal/contract"
+	"siskinrouter/internal/retry"
 	"siskinrouter/internal/target"
 )
 
@@ -35,8 +36,8 @@
 	NewID() string
 	// Explain records why a request was refused, routed or repeated.
 	Explain(id string, lines ...string)
-	// AllowRetry reports whether the retry budget admits one more attempt.
-	AllowRetry() bool
+	// Retry decides whether a failed request may be sent again.
+	Retry(f retry.Failure) (retry.Decision, retry.Reason)
 	// CountRequest adds one request to the retry budget.
 	CountRequest()
 }
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -9,6 +9,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"siskinrouter/internal/link"
+	"siskinrouter/internal/retry"
 	"siskinrouter/internal/session"
 	"siskinrouter/internal/target"
 	"siskinrouter/internal/verdict"
@@ -23,7 +24,8 @@
 	first   bool            // it starts a transaction
 	exclude map[string]bool // servers that failed it
 	attempt int
-	flushed bool // a part of the answer has been sent to the caller
+	flushed bool  // a part of the answer has been sent to the caller
+	sent    int64 // bytes that reached a target in the last attempt
 }
 
 // serve answers a batch. An error ends the session.
@@ -145,19 +147,19 @@
 	if e.Verdict == verdict.NotRun && e.SQLState == verdict.StateReadOnly {
 		return true
 	}
-	// The target executes a request with an id at most once, however often it is sent.
-	repeatable := r.read || r.access.Route.Repeatable || c.requestID != ""
-	if e.Verdict != verdict.NotRun && !repeatable {
+	if !retryable(e) {
 		return false
 	}
-	return r.attempt < maxAttempts && retryable(e) && c.srv.cfg.Policy.AllowRetry()
+	// The target executes a request with an id at most once, however often it is sent.
+	repeatable := r.read || r.access.Route.Repeatable || c.requestID != ""
+	decision, _ := c.srv.cfg.Policy.Retry(retry.Failure{
+		Verdict: e.Verdict, Repeatable: repeatable, BytesSent: r.sent, Attempt: r.attempt + 1,
+	})
+	return decision == retry.Elsewhere
 }
 
-const (
-	maxAttempts = 5
-	// primaryPause is the time between attempts while a group changes its primary.
-	primaryPause = 10 * time.Millisecond
-)
+// primaryPause is the time between attempts while a group changes its primary.
+const primaryPause = 10 * time.Millisecond
 
 // pause waits before another attempt when the view of the group has to catch up.
 func pause(ctx context.Context, e *verdict.Error) {
@@ -177,6 +179,7 @@
 
 // attempt gets a link and exchanges the batch with it.
 func (c *callerSession) attempt(ctx context.Context, r *request) error {
+	r.sent = 0
 	lease, err := c.acquire(ctx, r)
 	if err != nil {
 		return err
--- a/internal/routing/view.go
+++ b/internal/routing/view.go
@@ -27,6 +27,7 @@
 	Held         session.Position // end of the log that the server has received
 	Applied      session.Position // end of the log that reads see
 	Active       int              // open transactions
+	Primary      string           // address of the primary that the server follows; empty if none
 }
 
 // Server describes one server of the group.
--- a/internal/target/control.go
+++ b/internal/target/control.go
@@ -20,6 +20,7 @@
 	columnHeld     = "held"
 	columnApplied  = "applied"
 	columnActive   = "active"
+	columnPrimary  = "primary"
 	columnGranted  = "granted"
 )
 
@@ -89,6 +90,8 @@
 		a.Status.Applied, err = session.ParsePosition(value)
 	case columnActive:
 		a.Status.Active, err = strconv.Atoi(value)
+	case columnPrimary:
+		a.Status.Primary = value
 	case columnGranted:
 		a.Granted, err = strconv.ParseBool(value)
 	}
--- a/internal/target/group.go
+++ b/internal/target/group.go
@@ -42,6 +42,7 @@
 	wantSince    time.Duration
 	wantPosition session.Position
 	blocked      map[string]Block // servers that may not get certain work
+	held         bool             // new transactions on the primary wait
 }
 
 // Block says which work a server may not get.
@@ -103,6 +104,14 @@
 	g.mu.Unlock()
 }
 
+// HoldWrites makes new transactions on the primary wait, or continue.
+func (g *Group) HoldWrites(on bool) {
+	g.mu.Lock()
+	g.held = on
+	g.broadcast()
+	g.mu.Unlock()
+}
+
 // Inspect calls f with the view while no other goroutine changes it.
 func (g *Group) Inspect(f func(*routing.View)) {
 	g.mu.Lock()
@@ -275,7 +284,7 @@
 func (g *Group) awaitPrimary(ctx context.Context) (name string, term uint64, err error) {
 	err = g.await(ctx, func() (ok bool) {
 		name, term, ok = g.view.Leader()
-		return ok && !g.blocked[name].Writes
+		return ok && !g.held && !g.blocked[name].Writes
 	})
 	if err != nil {
 		return "", 0, verdict.Errorf(verdict.NotRun, verdict.StateCannotConnectNow,
@@ -288,7 +297,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	n, t, ok := g.view.Leader()
-	return ok && n == name && t == term && !g.blocked[name].Writes
+	return ok && n == name && t == term && !g.held && !g.blocked[name].Writes
 }
 
 // Read says what a read requires.
