--- a/internal/grant/account.go
+++ b/internal/grant/account.go
@@ -35,7 +35,8 @@
 	ignoreIncarnation bool // messages of earlier incarnations are accepted
 	acceptOldAsk      bool // the lender accepts asks that are not newer than the last
 	creditAnyLoan     bool // returned tokens are credited without a matching loan
-	extendRecalled    bool // a grant below the kept share extends the loan
+	extendRecalled    bool // the borrower extends a loan of which the lender wants a part back
+	renewUnowned      bool // the lender renews loans of a share that it no longer owns
 	keepExcessTokens  bool // tokens above the share of the burst are kept
 }
 
@@ -259,10 +260,19 @@
 	}
 	l.seq = ask.Seq
 	a.takeBack(l, ask)
-	amount := min(max(limit, 0), max(ask.Want, 0), l.amount+max(a.lendable(), 0))
+	amount := min(max(limit, 0), max(ask.Want, 0), a.most(l))
 	return a.hand(l, ask, amount), true
 }
 
+// most returns the largest loan that the owned share allows. It is below the present loan if this
+// account no longer owns all that it lends; such a loan is not renewed.
+func (a *Account) most(l *lent) Share {
+	if a.rules.renewUnowned {
+		return l.amount + max(a.lendable(), 0)
+	}
+	return max(l.amount+a.lendable(), 0)
+}
+
 // takeBack records what the borrower has given up. The borrower ignores the answers to its earlier
 // asks, so it holds no more than it keeps.
 func (a *Account) takeBack(l *lent, ask Ask) {
@@ -283,14 +293,13 @@
 // difference; it extends nothing, because this account may no longer own what was lent.
 func (a *Account) hand(l *lent, ask Ask, amount Share) Grant {
 	g := Grant{Workspace: a.workspace, Seq: ask.Seq, Loan: l.id, Amount: amount}
-	if amount < l.amount && !a.rules.extendRecalled {
+	if amount < l.amount {
 		return g
 	}
-	more := max(amount-l.amount, 0)
-	if more > 0 && a.live > 0 {
-		g.Tokens = mulDiv(a.tokens, int64(more), int64(a.live))
+	if amount > l.amount && a.live > 0 {
+		g.Tokens = mulDiv(a.tokens, int64(amount-l.amount), int64(a.live))
 	}
-	l.amount = max(amount, l.amount)
+	l.amount = amount
 	l.expires = max(l.expires, a.now+a.rules.lifetime+a.rules.margin)
 	if !a.rules.grantBeforeReduce {
 		a.tokens -= g.Tokens
@@ -320,7 +329,10 @@
 		expires = a.now + a.rules.lifetime
 	}
 	l.asked = 0
-	if expires <= a.now || (g.Amount < l.kept && !a.rules.extendRecalled) {
+	if a.rules.extendRecalled && g.Amount < l.kept {
+		l.expires = max(l.expires, expires)
+	}
+	if expires <= a.now || g.Amount < l.kept {
 		return false
 	}
 	l.id = g.Loan
@@ -404,12 +416,16 @@
 	}
 	elapsed := min(t-a.now, maxRefill)
 	a.now = t
+	before := a.tokens
 	hi, lo := bits.Mul64(uint64(a.rate)*uint64(a.live), uint64(elapsed))
 	lo, carry := bits.Add64(lo, a.frac, 0)
 	tokens, frac := bits.Div64(hi+carry, lo, fractions)
 	a.tokens += int64(tokens)
 	a.frac = frac
 	a.clamp()
+	if a.rules.keepExcessTokens {
+		a.tokens = min(a.tokens, max(before, a.capacity()))
+	}
 }
 
 // clamp drops tokens above the share of the burst.
