--- a/internal/promotion/member.go
+++ b/internal/promotion/member.go
@@ -172,11 +172,8 @@
 // writes the first log entry of the term. A repeated promotion is granted without effect.
 // address is the address under which replicas reach this server.
 func (m *Member[D]) Promote(term uint64, driver, address string) bool {
-	granted := term == m.promised && driver == m.driver
-	if m.without.has(rulePromoteGranted) {
-		granted = term >= m.promised
-	}
-	if !granted || m.role == Replica {
+	granted := term == m.promised && driver == m.driver && m.role != Replica
+	if !granted && !m.without.has(rulePromoteGranted) {
 		return false
 	}
 	if m.role == Primary && m.promised == term {
