Check the import rule of decision packages; replace the loan_lifetime setting by seeds

The lifetime of loans is a constant of the protocol that all VMs must share, so a setting of one VM could only break it. Seeds are the addresses that a VM asks for the configuration when the platform is down at its start.

--- a/internal/catalog/codec.go
+++ b/internal/catalog/codec.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"time"
 )
 
@@ -205,8 +204,8 @@
 	d := json.NewDecoder(bytes.NewReader(value))
 	d.DisallowUnknownFields()
 	err := d.Decode(&v)
-	if err == nil {
-		err = atEnd(d)
+	if err == nil && !json.Valid(value) {
+		err = errors.New("text after the JSON value")
 	}
 	if err == nil {
 		err = v.check()
@@ -216,10 +215,3 @@
 	}
 	return v, nil
 }
-
-func atEnd(d *json.Decoder) error {
-	if _, err := d.Token(); !errors.Is(err, io.EOF) {
-		return errors.New("text after the JSON value")
-	}
-	return nil
-}
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -41,7 +41,7 @@
 	if err != nil {
 		return err
 	}
-	options := daemon.Options{Settings: s, Store: store, Log: e.logger(s.Log.Level)}
+	options := daemon.Options{Settings: s, Store: store, Log: e.logger(s.Log.Level), Seeds: s.Fleet.Seeds}
 	if register {
 		options.Register = store.Register
 	}
--- a/internal/settings/parse.go
+++ b/internal/settings/parse.go
@@ -129,6 +129,11 @@
 	if t.Good("key") && len(f.Key) < MinFleetKeyBytes {
 		t.Fault("key", fmt.Sprintf("use at least %d random characters", MinFleetKeyBytes), "the fleet key has only %d bytes", len(f.Key))
 	}
+	for _, seed := range t.Tables("seed") {
+		seed.Require(`address = "10.0.0.2:7400"`)
+		f.Seeds = append(f.Seeds, seed.Address("address"))
+		seed.Close()
+	}
 	if t.Good("listen") && !t.Has("advertise") {
 		f.Advertise = f.Listen
 		checkAdvertise(t, f.Listen)
@@ -220,7 +225,6 @@
 	v := Timings{
 		ProbeInterval: t.Duration("probe_interval", DefaultProbeInterval, MinProbeInterval, MaxProbeInterval),
 		Suspicion:     t.Duration("suspicion", DefaultSuspicion, MinProbeInterval, MaxSuspicion),
-		LoanLifetime:  t.Duration("loan_lifetime", DefaultLoanLifetime, MinLoanLifetime, MaxLoanLifetime),
 		CutOffAfter:   t.Duration("cut_off_after", DefaultCutOffAfter, MinCutOffAfter, MaxCutOffAfter),
 		DrainTimeout:  t.Duration("drain_timeout", DefaultDrainTimeout, MinDrainTimeout, MaxDrainTimeout),
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -38,13 +38,14 @@
 
 // Fleet holds the service for other VMs.
 type Fleet struct {
-	Listen      string // IP:port
-	Advertise   string // IP:port at which other VMs reach it
-	Key         Secret // shared by all VMs; at least MinFleetKeyBytes
-	KeyFile     string // read by Load into Key
-	TLSCertFile string // PEM; empty disables TLS
-	TLSKeyFile  string // PEM
-	TLSCAFile   string // PEM; authorities of the certificates of other VMs; empty means those of the system
+	Listen      string   // IP:port
+	Advertise   string   // IP:port at which other VMs reach it
+	Seeds       []string // addresses of other VMs, for a start while the platform is down
+	Key         Secret   // shared by all VMs; at least MinFleetKeyBytes
+	KeyFile     string   // read by Load into Key
+	TLSCertFile string   // PEM; empty disables TLS
+	TLSKeyFile  string   // PEM
+	TLSCAFile   string   // PEM; authorities of the certificates of other VMs; empty means those of the system
 }
 
 // Platform says where the platform's API is.
@@ -76,7 +77,6 @@
 type Timings struct {
 	ProbeInterval time.Duration // between two status probes of a server
 	Suspicion     time.Duration // without an answer until a primary is suspected
-	LoanLifetime  time.Duration // of a loan of a share; the same on all VMs
 	CutOffAfter   time.Duration // without fresh configuration until when_cut_off applies
 	DrainTimeout  time.Duration // from SIGTERM until the daemon exits in any case; at least StatementTimeout
 }
@@ -95,7 +95,6 @@
 
 	DefaultProbeInterval = 100 * time.Millisecond
 	DefaultSuspicion     = 400 * time.Millisecond
-	DefaultLoanLifetime  = 2 * time.Second
 	DefaultCutOffAfter   = 10 * time.Second
 	DefaultDrainTimeout  = 30 * time.Second
 
@@ -116,8 +115,6 @@
 	MinProbeInterval = 10 * time.Millisecond
 	MaxProbeInterval = 10 * time.Second
 	MaxSuspicion     = time.Minute
-	MinLoanLifetime  = 100 * time.Millisecond
-	MaxLoanLifetime  = time.Minute
 	MinCutOffAfter   = time.Second
 	MaxCutOffAfter   = 24 * time.Hour
 	MinDrainTimeout  = time.Second
