platform, devplatform: make tests of late attempts and quotas stricter

TestUpdateWithLateFirstAttempt now sends the late attempt through Update itself. TestQuota, which depended on the speed of the machine, is replaced by TestQuotaRate and TestQuotaPerKind. A lost answer must be read back before a repeat.

--- a/internal/devplatform/server_test.go
+++ b/internal/devplatform/server_test.go
@@ -102,18 +102,26 @@
 	is.Equal(resp.StatusCode, http.StatusRequestEntityTooLarge)
 }
 
-// Guards against quotas that miss calls: a waiting watch counts as one read, updates are apart.
-func TestQuota(t *testing.T) {
+// Guards against calls that bypass the quota, watches included, and against one quota for both kinds.
+func TestQuotaPerKind(t *testing.T) {
 	is := is.New(t)
 	ctx := context.Background()
-	_, url := start(t, devplatform.Config{ReadsPerSecond: 0.001, WritesPerSecond: 2, WatchWait: time.Millisecond})
+	const exhausted = 0.001 // calls/s, less than one call at the start
+	_, url := start(t, devplatform.Config{ReadsPerSecond: exhausted})
 	h := client(t, url, "a")
 	_, _, err := h.Watch(ctx, "", 0)
-	is.True(errors.Is(err, platform.ErrOverQuota)) // the bucket starts with 0.001 of a call
-	for range 2 {
-		_, err = h.Put(ctx, "a", 9, nil)
-		is.True(errors.Is(err, platform.ErrConflict))
-	}
+	is.True(errors.Is(err, platform.ErrOverQuota))
+	_, _, err = h.List(ctx, "")
+	is.True(errors.Is(err, platform.ErrOverQuota))
+	_, err = h.VMs(ctx)
+	is.True(errors.Is(err, platform.ErrOverQuota))
+	_, err = h.Put(ctx, "a", 0, nil)
+	is.NoErr(err)
+
+	_, url = start(t, devplatform.Config{WritesPerSecond: exhausted})
+	h = client(t, url, "a")
+	_, err = h.VMs(ctx)
+	is.NoErr(err)
 	_, err = h.Put(ctx, "a", 0, nil)
 	var q *platform.QuotaError
 	is.True(errors.As(err, &q))
--- a/internal/platform/update_test.go
+++ b/internal/platform/update_test.go
@@ -34,19 +34,23 @@
 	}
 }
 
-// Guards against a repeat that overtakes or follows a slow first attempt and applies twice.
+// Guards against a repeat that overtakes a slow first attempt, after which both are applied.
 func TestUpdateWithLateFirstAttempt(t *testing.T) {
 	is := is.New(t)
+	ctx := context.Background()
+	const late = time.Second
 	s, h := start(t, 100*time.Millisecond)
-	s.SetFaults(devplatform.Faults{DelayMS: 400})
-	time.AfterFunc(150*time.Millisecond, func() { s.SetFaults(devplatform.Faults{}) })
-	_, err := h.Put(context.Background(), "a", 0, []byte("line\n"))
-	is.True(errors.Is(err, platform.ErrUnavailable))
-	time.Sleep(80 * time.Millisecond)
-	_, err = platform.Update(context.Background(), h, "a", func([]byte) ([]byte, error) { return []byte("line\n"), nil })
+	began := time.Now()
+	o, err := platform.Update(ctx, h, "a", func([]byte) ([]byte, error) {
+		s.SetFaults(devplatform.Faults{DelayMS: int(late / time.Millisecond)})
+		time.AfterFunc(50*time.Millisecond, func() { s.SetFaults(devplatform.Faults{}) })
+		return []byte("line"), nil
+	})
 	is.NoErr(err)
-	time.Sleep(400 * time.Millisecond)
-	o, err := h.Get(context.Background(), "a")
+	is.Equal(o.Version, uint64(1))
+	is.True(time.Since(began) < late) // the first attempt is still on its way
+	time.Sleep(late)
+	o, err = h.Get(ctx, "a")
 	is.NoErr(err)
 	is.Equal(o.Version, uint64(1))
 }
@@ -72,19 +76,20 @@
 // replaced is a store that loses the answer of an update and lets another writer follow it at once.
 type replaced struct {
 	*platform.Memory
-	once sync.Once
+	puts int
 }
 
 func (r *replaced) Put(ctx context.Context, name string, version uint64, value []byte) (uint64, error) {
 	v, err := r.Memory.Put(ctx, name, version, value)
-	r.once.Do(func() {
+	if r.puts++; r.puts == 1 {
 		_, _ = r.Memory.Put(ctx, name, v, []byte("other"))
 		err = platform.ErrUnavailable
-	})
+	}
 	return v, err
 }
 
-// Guards against reporting "not applied" for a change that took effect and was then replaced.
+// Guards against reporting "not applied" for a change that took effect and was then replaced, and
+// against a repeat without reading the object back.
 func TestLostAnswerThenReplaced(t *testing.T) {
 	is := is.New(t)
 	r := &replaced{Memory: platform.NewMemory(time.Second)}
@@ -93,6 +98,7 @@
 	is.True(errors.As(err, &lost))
 	is.True(lost.MayHaveApplied)
 	is.Equal(lost.Other.Version, uint64(2))
+	is.Equal(r.puts, 1)
 }
 
 // Guards against an outage that is reported as success, as "not applied", or not at all.
