--- a/internal/devplatform/server_test.go
+++ b/internal/devplatform/server_test.go
@@ -35,6 +35,21 @@
 	return h
 }
 
+// promptly is well below the wait of a watch without faults.
+const promptly = 5 * time.Second
+
+// result returns the result of a watch, which must end long before its wait.
+func result(t *testing.T, c <-chan watched) watched {
+	t.Helper()
+	select {
+	case w := <-c:
+		return w
+	case <-time.After(promptly):
+		t.Fatal("the watch is still waiting")
+		return watched{}
+	}
+}
+
 type watched struct {
 	objects  []platform.Object
 	revision uint64
@@ -137,7 +152,7 @@
 	waiting := watchFrom(ctx, h, 0)
 	time.Sleep(20 * time.Millisecond)
 	s.SetFaults(devplatform.Faults{Down: true})
-	is.True(errors.Is((<-waiting).err, platform.ErrUnavailable))
+	is.True(errors.Is(result(t, waiting).err, platform.ErrUnavailable))
 	_, err := h.Get(ctx, "a")
 	is.True(errors.Is(err, platform.ErrUnavailable))
 	_, err = h.VMs(ctx)
@@ -157,7 +172,7 @@
 	waiting := watchFrom(ctx, cut, 0)
 	time.Sleep(20 * time.Millisecond)
 	s.SetFaults(devplatform.Faults{CutClients: []string{"vm1"}, CutHoldMS: 10})
-	is.True(errors.Is((<-waiting).err, platform.ErrUnavailable))
+	is.True(errors.Is(result(t, waiting).err, platform.ErrUnavailable))
 	_, err := cut.Put(ctx, "a", 0, nil)
 	is.True(errors.Is(err, platform.ErrUnavailable))
 	_, err = other.Put(ctx, "a", 0, nil)
@@ -173,14 +188,14 @@
 	waiting := watchFrom(ctx, h, 0)
 	time.Sleep(20 * time.Millisecond)
 	s.SetFaults(devplatform.Faults{CutWatches: true})
-	is.True(errors.Is((<-waiting).err, platform.ErrUnavailable))
+	is.True(errors.Is(result(t, waiting).err, platform.ErrUnavailable))
 	_, err := h.Put(ctx, "a", 0, []byte("x"))
 	is.NoErr(err)
 
 	const late = 60
 	s.SetFaults(devplatform.Faults{LateWatchMS: late})
 	began := time.Now()
-	got := <-watchFrom(ctx, h, 0)
+	got := result(t, watchFrom(ctx, h, 0))
 	is.NoErr(got.err)
 	is.Equal(len(got.objects), 1)
 	is.True(time.Since(began) >= late*time.Millisecond)
@@ -216,5 +231,5 @@
 	time.Sleep(20 * time.Millisecond)
 	cancel()
 	is.NoErr(<-ended)
-	is.True(errors.Is((<-waiting).err, platform.ErrUnavailable))
+	is.True(errors.Is(result(t, waiting).err, platform.ErrUnavailable))
 }
