--- a/internal/devplatform/server_test.go
+++ b/internal/devplatform/server_test.go
@@ -35,6 +35,21 @@
 	return h
 }
 
+// promptly is well below the wait of a watch without faults.
+const promptly = 5 * time.Second
+
+// result returns the result of a watch, which must end long before its wait.
+func result(t *testing.T, c <-chan watched) watched {
+	t.Helper()
+	select {
+	case w := <-c:
+		return w
+	case <-time.After(promptly):
+		t.Fatal("the watch is still waiting")
+		return watched{}
+	}
+}
+
 type watched struct {
 	objects  []platform.Object
 	revision uint64
@@ -102,18 +117,26 @@
 	is.Equal(resp.StatusCode, http.StatusRequestEntityTooLarge)
 }
 
-// Guards against quotas that miss calls: a waiting watch counts as one read, updates are apart.
-func TestQuota(t *testing.T) {
+// Guards against calls that bypass the quota, watches included, and against one quota for both kinds.
+func TestQuotaPerKind(t *testing.T) {
 	is := is.New(t)
 	ctx := context.Background()
-	_, url := start(t, devplatform.Config{ReadsPerSecond: 0.001, WritesPerSecond: 2, WatchWait: time.Millisecond})
+	const exhausted = 0.001 // calls/s, less than one call at the start
+	_, url := start(t, devplatform.Config{ReadsPerSecond: exhausted})
 	h := client(t, url, "a")
 	_, _, err := h.Watch(ctx, "", 0)
-	is.True(errors.Is(err, platform.ErrOverQuota)) // the bucket starts with 0.001 of a call
-	for range 2 {
-		_, err = h.Put(ctx, "a", 9, nil)
-		is.True(errors.Is(err, platform.ErrConflict))
-	}
+	is.True(errors.Is(err, platform.ErrOverQuota))
+	_, _, err = h.List(ctx, "")
+	is.True(errors.Is(err, platform.ErrOverQuota))
+	_, err = h.VMs(ctx)
+	is.True(errors.Is(err, platform.ErrOverQuota))
+	_, err = h.Put(ctx, "a", 0, nil)
+	is.NoErr(err)
+
+	_, url = start(t, devplatform.Config{WritesPerSecond: exhausted})
+	h = client(t, url, "a")
+	_, err = h.VMs(ctx)
+	is.NoErr(err)
 	_, err = h.Put(ctx, "a", 0, nil)
 	var q *platform.QuotaError
 	is.True(errors.As(err, &q))
@@ -129,7 +152,7 @@
 	waiting := watchFrom(ctx, h, 0)
 	time.Sleep(20 * time.Millisecond)
 	s.SetFaults(devplatform.Faults{Down: true})
-	is.True(errors.Is((<-waiting).err, platform.ErrUnavailable))
+	is.True(errors.Is(result(t, waiting).err, platform.ErrUnavailable))
 	_, err := h.Get(ctx, "a")
 	is.True(errors.Is(err, platform.ErrUnavailable))
 	_, err = h.VMs(ctx)
@@ -149,7 +172,7 @@
 	waiting := watchFrom(ctx, cut, 0)
 	time.Sleep(20 * time.Millisecond)
 	s.SetFaults(devplatform.Faults{CutClients: []string{"vm1"}, CutHoldMS: 10})
-	is.True(errors.Is((<-waiting).err, platform.ErrUnavailable))
+	is.True(errors.Is(result(t, waiting).err, platform.ErrUnavailable))
 	_, err := cut.Put(ctx, "a", 0, nil)
 	is.True(errors.Is(err, platform.ErrUnavailable))
 	_, err = other.Put(ctx, "a", 0, nil)
@@ -165,14 +188,14 @@
 	waiting := watchFrom(ctx, h, 0)
 	time.Sleep(20 * time.Millisecond)
 	s.SetFaults(devplatform.Faults{CutWatches: true})
-	is.True(errors.Is((<-waiting).err, platform.ErrUnavailable))
+	is.True(errors.Is(result(t, waiting).err, platform.ErrUnavailable))
 	_, err := h.Put(ctx, "a", 0, []byte("x"))
 	is.NoErr(err)
 
 	const late = 60
 	s.SetFaults(devplatform.Faults{LateWatchMS: late})
 	began := time.Now()
-	got := <-watchFrom(ctx, h, 0)
+	got := result(t, watchFrom(ctx, h, 0))
 	is.NoErr(got.err)
 	is.Equal(len(got.objects), 1)
 	is.True(time.Since(began) >= late*time.Millisecond)
@@ -208,5 +231,5 @@
 	time.Sleep(20 * time.Millisecond)
 	cancel()
 	is.NoErr(<-ended)
-	is.True(errors.Is((<-waiting).err, platform.ErrUnavailable))
+	is.True(errors.Is(result(t, waiting).err, platform.ErrUnavailable))
 }
