--- a/internal/promotion/attempt.go
+++ b/internal/promotion/attempt.go
@@ -22,6 +22,7 @@
 	phase    phase
 	term     uint64
 	cause    string
+	avoid    string // suspected primary, promoted only if no other server can be
 	evidence string
 	since    time.Duration // start of the phase
 	grants   []grant
@@ -144,10 +145,11 @@
 	d.do(Send{Server: best.server, Op: Promote, Term: a.term, Driver: d.cfg.Driver})
 }
 
-// choose returns the most advanced server in a place that is open, or the most advanced of all
-// if no such server may be promoted. A server may be promoted if it covers the positions of a
-// majority of the group, each bound by its grant: a position that it lacks is then held by a
-// minority, which can neither have been confirmed nor be confirmed later.
+// choose returns the most advanced server that is in an open place and not the suspected
+// primary, or the most advanced of all if no such server may be promoted. A server may be
+// promoted if it covers the positions of a majority of the group, each bound by its grant: a
+// position that it lacks is then held by a minority, which can neither have been confirmed nor
+// be confirmed later.
 func (d *Driver) choose(grants []grant) (grant, bool) {
 	var best grant
 	found := false
@@ -175,11 +177,13 @@
 	return covered >= d.majorityOfGrants()
 }
 
-// better orders two servers that may be promoted: open place, position, current primary.
+// better orders two servers that may be promoted: suitable, position, current primary. Without
+// the first criterion, a primary whose log no longer reaches the replicas would be promoted
+// again, because its own position is the most advanced.
 func (d *Driver) better(x, y grant) bool {
 	px, py := d.peer(x.server), d.peer(y.server)
-	if open := d.open(px); open != d.open(py) {
-		return open
+	if suitable := d.suitable(px); suitable != d.suitable(py) {
+		return suitable
 	}
 	if c := x.held.Compare(y.held); c != 0 {
 		return c > 0
@@ -187,6 +191,9 @@
 	return px.status.Promised == d.primaryTerm && px.status.Role == Primary
 }
 
+// suitable reports whether the server is in an open place and not the suspected primary.
+func (d *Driver) suitable(p *peer) bool { return d.open(p) && p.Name != d.attempt.avoid }
+
 // succeed ends an attempt whose promotion was granted.
 func (d *Driver) succeed(now time.Duration, st Status) {
 	a := d.attempt
--- a/internal/promotion/detect.go
+++ b/internal/promotion/detect.go
@@ -34,6 +34,9 @@
 	switch {
 	case d.confirmed.lasted(delay, now) && (stopped || !guarded):
 		d.start(now, reason)
+		if primary != nil {
+			d.attempt.avoid = primary.Name
+		}
 	case stopped || guarded:
 		return
 	case d.moveDue(now, primary):
@@ -43,9 +46,12 @@
 	}
 }
 
-// suspicion returns why the primary is suspected, or "" if it is not.
+// suspicion returns why the primary is suspected, or "" if it is not. A suspicion outlasts the
+// fencing of the primary, so that a failed attempt is repeated without another detection time.
 func (d *Driver) suspicion(now time.Duration, primary *peer) string {
 	switch {
+	case primary == nil && d.suspected.Suspected:
+		return d.suspected.Reason
 	case primary == nil && d.noPrimary.lasted(d.timing.SuspectAfter, now):
 		return fmt.Sprintf("no server has been primary for %v", d.timing.SuspectAfter)
 	case primary == nil:
--- a/internal/promotion/driver.go
+++ b/internal/promotion/driver.go
@@ -288,7 +288,7 @@
 	stalledAt session.Position // position held by a majority when the stall began
 	confirmed span             // enough failure domains suspect the primary
 	repair    span             // a server is fenced above the primary's term
-	misplaced span             // the primary is in a closed place and another server can take over
+	misplaced span             // the primary is in a closed place and another server follows it
 	hold      span
 	holdAgain time.Duration
 	suspected Report
@@ -404,6 +404,7 @@
 	if st.Role == Primary && st.Promised > d.primaryTerm {
 		d.primaryTerm, d.primaryAt = st.Promised, now
 		d.failures, d.backoff, d.holdAgain = 0, now, now
+		d.stall = span{}
 		d.log("primary seen", st.Promised, server, "status of the server", now)
 	}
 	if d.unpublished.phase == promoting && st.Role == Primary && server == d.unpublished.chosen &&
--- a/internal/promotion/explore_test.go
+++ b/internal/promotion/explore_test.go
@@ -516,7 +516,10 @@
 	"different terms":   {limits: limits{steps: 15, starts: 1, ahead: true}, changes: true},
 	"repeated attempts": {limits: limits{steps: 11, starts: 2}},
 	"writes":            {limits: limits{steps: 12, starts: 1, writes: 1, appends: true, ahead: true}},
-	"pipelined writes":  {limits: limits{steps: 11, starts: 1, writes: 2, appends: true, pipelined: true}},
+	"writes and a withdrawn domain": {
+		limits: limits{steps: 11, starts: 1, writes: 1, appends: true, ahead: true, withdrawn: []string{"a", "b"}},
+	},
+	"pipelined writes": {limits: limits{steps: 11, starts: 1, writes: 2, appends: true, pipelined: true}},
 	"second change": {
 		limits: limits{steps: 10, starts: 1, writes: 1, appends: true, ahead: true},
 		prefix: slices.Concat([]string{"d1 starts"}, granted("d1", 2, "s2", "s3"), []string{
--- a/internal/promotion/move.go
+++ b/internal/promotion/move.go
@@ -14,7 +14,7 @@
 // drains, for at most HoldLimit. A move that did not happen in that time is tried again after
 // MoveRetry.
 func (d *Driver) evaluateMove(now time.Duration, primary *peer) {
-	due := primary != nil && d.fresh(primary, now) && !d.open(primary) && d.successor(now) != nil
+	due := primary != nil && d.fresh(primary, now) && !d.open(primary) && d.hasFollower(now, primary)
 	if due && !d.misplaced.on {
 		d.log("primary is in a closed place", primary.status.Promised, primary.Name, "operators' placement", now)
 	}
@@ -37,15 +37,29 @@
 	if !d.misplaced.on || !d.hold.on || now-d.hold.since < d.timing.ProbeEvery+d.rankDelay() {
 		return false
 	}
-	if now-d.hold.since >= d.timing.DrainLimit {
-		return true
-	}
 	next := d.successor(now)
+	if next == nil || now-d.hold.since >= d.timing.DrainLimit {
+		return next != nil
+	}
 	observed := d.hold.since + d.timing.ProbeEvery
 	return primary.status.Active == 0 && primary.answeredAt >= observed &&
 		next.answeredAt >= observed && next.status.Held.Covers(primary.status.Held)
 }
 
+// hasFollower reports whether a server in an open place follows the primary. Whether it has
+// caught up is decided only once writes are held: until then the answers of the servers are of
+// different age, and a comparison of their positions changes with every probe.
+func (d *Driver) hasFollower(now time.Duration, primary *peer) bool {
+	for i := range d.peers {
+		p := &d.peers[i]
+		follows := p.status.Role == Replica && p.status.Promised == primary.status.Promised
+		if follows && d.open(p) && d.fresh(p, now) {
+			return true
+		}
+	}
+	return false
+}
+
 // successor returns the most advanced server in an open place that could be promoted according
 // to the last answers, or nil.
 func (d *Driver) successor(now time.Duration) *peer {
--- /dev/null
+++ b/internal/promotion/sim_test.go
@@ -0,0 +1,337 @@
+package promotion
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"siskinrouter/internal/session"
+)
+
+// Intervals of the simulation.
+const (
+	simLatency = 2 * time.Millisecond  // one way, between any two parts
+	simTick    = 25 * time.Millisecond // of the drivers
+	simStep    = 10 * time.Millisecond // of replication and of the writing client
+	simTimeout = 300 * time.Millisecond
+)
+
+// sim runs drivers and servers in virtual time. VMs belong to domains a, b and c in turn; server
+// s1 is in a, s2 in b and s3 in c.
+type sim struct {
+	*world
+	now     time.Duration
+	queue   simQueue
+	order   int
+	vms     []*simVM
+	down    map[string]bool // servers that neither answer nor replicate
+	silent  map[string]bool // servers that do not replicate
+	cut     map[string]bool // domains without contact to other domains
+	active  map[string]int  // open transactions of a server
+	noWrite bool
+
+	outcomes []Outcome
+	ackedAt  []time.Duration // time of each acknowledgment
+}
+
+type simVM struct {
+	*Driver
+	name     string
+	domain   string
+	paused   bool
+	backlog  []Input
+	holds    []HoldWrites
+	heldAt   []time.Duration
+	changes  []LogChange
+	suspects bool
+}
+
+type simEvent struct {
+	at    time.Duration
+	order int
+	run   func()
+}
+
+type simQueue []simEvent
+
+func (q simQueue) Len() int      { return len(q) }
+func (q simQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q simQueue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].order < q[j].order
+}
+func (q *simQueue) Push(x any) { *q = append(*q, x.(simEvent)) }
+func (q *simQueue) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+// newSim returns a simulation with n VMs and server s1 as primary of term 1.
+func newSim(n int, seed uint64) *sim {
+	s := &sim{
+		world: newWorld(limits{}), down: map[string]bool{}, silent: map[string]bool{},
+		cut: map[string]bool{}, active: map[string]int{},
+	}
+	var live []VM
+	for i := range n {
+		live = append(live, VM{Name: fmt.Sprintf("vm%d", i+1), Domain: groupServers[i%3].Domain})
+	}
+	for i, vm := range live {
+		d := NewDriver(Config{
+			Group: "g", VM: vm.Name, Domain: vm.Domain, Driver: vm.Name, Servers: groupServers,
+			Rand: rand.New(rand.NewPCG(seed, uint64(i))),
+		})
+		v := &simVM{Driver: d, name: vm.Name, domain: vm.Domain}
+		s.vms = append(s.vms, v)
+		s.input(v, Peers{Live: live})
+		s.tick(v)
+	}
+	s.background()
+	return s
+}
+
+func (s *sim) after(d time.Duration, run func()) {
+	s.order++
+	heap.Push(&s.queue, simEvent{at: s.now + d, order: s.order, run: run})
+}
+
+// run advances the virtual time.
+func (s *sim) run(d time.Duration) {
+	end := s.now + d
+	for len(s.queue) > 0 && s.queue[0].at <= end {
+		e := heap.Pop(&s.queue).(simEvent)
+		s.now = e.at
+		e.run()
+	}
+	s.now = end
+}
+
+func (s *sim) tick(v *simVM) {
+	if !v.paused {
+		s.input(v, Tick{})
+	}
+	s.after(simTick, func() { s.tick(v) })
+}
+
+func (s *sim) input(v *simVM, in Input) {
+	if v.paused {
+		v.backlog = append(v.backlog, in)
+		return
+	}
+	for _, a := range v.Step(s.now, in) {
+		s.act(v, a)
+	}
+}
+
+func (s *sim) pause(v *simVM) { v.paused = true }
+
+// resume lets a paused driver process what arrived in the meantime.
+func (s *sim) resume(v *simVM) {
+	v.paused = false
+	backlog := v.backlog
+	v.backlog = nil
+	for _, in := range backlog {
+		s.input(v, in)
+	}
+}
+
+func (s *sim) act(v *simVM, a Action) {
+	switch a := a.(type) {
+	case Probe:
+		s.call(v, a.Server, func(m *Member[int]) Input {
+			return StatusAnswer{Server: a.Server, Status: s.status(m)}
+		}, ProbeFailed{Server: a.Server, Reason: "time limit"})
+	case Send:
+		s.call(v, a.Server, func(*Member[int]) Input { return s.serve(a) },
+			Failed{Server: a.Server, Op: a.Op, Term: a.Term, Reason: "time limit"})
+	case Report:
+		v.suspects = a.Suspected
+		for _, other := range s.vms {
+			if other != v && s.reach(v.domain, other.domain) {
+				r := PeerReport{VM: v.name, Domain: v.domain, Term: a.Term, Suspected: a.Suspected, Reason: a.Reason}
+				s.after(simLatency, func() { s.input(other, r) })
+			}
+		}
+	case Publish:
+		s.outcomes = append(s.outcomes, a.Outcome)
+	case HoldWrites:
+		v.holds, v.heldAt = append(v.holds, a), append(v.heldAt, s.now)
+	case LogChange:
+		v.changes = append(v.changes, a)
+	}
+}
+
+func (s *sim) status(m *Member[int]) Status {
+	st := m.Status()
+	st.Active = s.active[m.name]
+	return st
+}
+
+func (s *sim) reach(x, y string) bool { return x == y || !s.cut[x] && !s.cut[y] }
+
+// call performs a request to a server; the answer is lost if either direction fails.
+func (s *sim) call(v *simVM, server string, run func(*Member[int]) Input, lost Input) {
+	i := slices.IndexFunc(groupServers, func(x Server) bool { return x.Name == server })
+	arrives := func() bool { return s.reach(v.domain, groupServers[i].Domain) && !s.down[server] }
+	answered := false
+	s.after(simLatency, func() {
+		if !arrives() {
+			return
+		}
+		answer := run(s.members[i])
+		s.after(simLatency, func() {
+			if arrives() {
+				answered = true
+				s.input(v, answer)
+			}
+		})
+	})
+	s.after(simTimeout, func() {
+		if !answered {
+			s.input(v, lost)
+		}
+	})
+}
+
+// background replicates, writes on every server that is primary and confirms.
+func (s *sim) background() {
+	for i, m := range s.members {
+		for j, r := range s.members {
+			s.replicate(i, m, j, r)
+		}
+		if m.role == Primary && !s.down[m.name] && !s.noWrite {
+			s.write(i)
+		}
+	}
+	acked := 0
+	for _, w := range s.writes {
+		if w.acked {
+			acked++
+		}
+	}
+	s.check()
+	for _, w := range s.writes {
+		if w.acked {
+			acked--
+		}
+	}
+	for ; acked < 0; acked++ {
+		s.ackedAt = append(s.ackedAt, s.now)
+	}
+	s.after(simStep, s.background)
+}
+
+func (s *sim) replicate(i int, from *Member[int], j int, to *Member[int]) {
+	linked := s.reach(groupServers[i].Domain, groupServers[j].Domain) && !s.down[from.name] && !s.down[to.name] &&
+		!s.silent[from.name] && !s.silent[to.name]
+	if i == j || !linked || to.role != Replica || to.primary != from.name {
+		return
+	}
+	if a, ok := from.After(to.promised, from.Common(to.Boundaries()), 1000); ok {
+		to.Accept(a)
+	}
+}
+
+// check confirms outstanding writes and verifies the invariants on the latest writes; a lost
+// older write would have been found while it was among them.
+func (s *sim) check() {
+	const recent = 50
+	all := s.writes
+	if len(all) > recent {
+		base := len(all) - recent
+		s.checkFrom(base)
+		return
+	}
+	s.world.check()
+}
+
+func (s *sim) checkFrom(base int) {
+	for i := base; i < len(s.writes); i++ {
+		s.confirm(i)
+	}
+	for _, m := range s.members {
+		if m.role == Primary {
+			s.checkPrimary(m)
+		}
+	}
+}
+
+// checkPrimary verifies a primary once per term against all acknowledged writes.
+func (s *sim) checkPrimary(m *Member[int]) {
+	known, exists := s.primaries[m.promised]
+	if exists && known != m.name {
+		s.violation = fmt.Sprintf("term %d has the primaries %s and %s", m.promised, known, m.name)
+	}
+	s.primaries[m.promised] = m.name
+	if exists {
+		return
+	}
+	for id, made := range s.writes {
+		if made.acked && m.promised > made.at.Term && !s.contains(m, id+1) {
+			s.violation = fmt.Sprintf("primary %s of term %d lacks acknowledged write %d", m.name, m.promised, id+1)
+		}
+	}
+}
+
+// gap returns the longest time without an acknowledgment since from.
+func (s *sim) gap(from time.Duration) time.Duration {
+	last, longest := from, time.Duration(0)
+	for _, at := range append(slices.Clone(s.ackedAt), s.now) {
+		if at < from {
+			continue
+		}
+		longest = max(longest, at-last)
+		last = at
+	}
+	return longest
+}
+
+// settled reports whether one primary leads and all other servers follow it.
+func (s *sim) settled() bool {
+	var primary *Member[int]
+	for _, m := range s.members {
+		if m.role == Primary && (primary == nil || m.promised > primary.promised) {
+			primary = m
+		}
+	}
+	if primary == nil {
+		return false
+	}
+	for _, m := range s.members {
+		if m != primary && (m.role != Replica || m.primary != primary.name || m.promised != primary.promised) {
+			return false
+		}
+	}
+	return true
+}
+
+// verify fails the test on a violation.
+func (s *sim) verify(t testing.TB) {
+	t.Helper()
+	if s.violation != "" {
+		t.Fatalf("%s at %v", s.violation, s.now)
+	}
+}
+
+func (s *sim) member(name string) *Member[int] {
+	return s.members[slices.IndexFunc(groupServers, func(x Server) bool { return x.Name == name })]
+}
+
+func (s *sim) each(f func(*simVM)) {
+	for _, v := range s.vms {
+		f(v)
+	}
+}
+
+func (s *sim) term() uint64 {
+	term := uint64(0)
+	for _, m := range s.members {
+		term = max(term, m.promised)
+	}
+	return term
+}
+
+func (s *sim) held(name string) session.Position { return s.member(name).Held() }
