--- a/internal/devtarget/admin.go
+++ b/internal/devtarget/admin.go
@@ -14,7 +14,7 @@
 //	GET  /status                     status row, counters, connections
 //	GET  /history                    transactions in the log
 //	GET  /logins                     what clients sent while connecting
-//	POST /kill                       and /restart
+//	POST /kill                       also /shutdown and /restart
 //	POST /freeze?on=BOOL             also /isolate-peers and /refuse-logins
 //	POST /isolate-client?name=NAME&on=BOOL
 //	POST /lag?d=DURATION             also /answer-delay, /service-time and /replication-delay
@@ -44,6 +44,7 @@
 	mux.HandleFunc("GET /history", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.History()) })
 	mux.HandleFunc("GET /logins", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Logins()) })
 	mux.HandleFunc("POST /kill", func(http.ResponseWriter, *http.Request) { s.Kill() })
+	mux.HandleFunc("POST /shutdown", func(http.ResponseWriter, *http.Request) { s.Shutdown() })
 	mux.HandleFunc("POST /restart", func(w http.ResponseWriter, _ *http.Request) {
 		if err := s.Restart(); err != nil {
 			http.Error(w, err.Error(), http.StatusConflict)
--- a/internal/devtarget/conn.go
+++ b/internal/devtarget/conn.go
@@ -124,7 +124,7 @@
 	c.nc.SetReadDeadline(time.Now().Add(startupTimeout))
 	replica, err := c.startup()
 	if err != nil {
-		c.refuseLogin(err)
+		c.closeWith(err)
 		return
 	}
 	c.nc.SetReadDeadline(time.Time{})
@@ -134,12 +134,27 @@
 	}
 	for {
 		msg, err := c.backend.Receive()
-		if err != nil || c.handle(msg) != nil {
+		if err == nil {
+			err = c.handle(msg)
+		}
+		if c.s.shuttingDown() {
+			c.closeWith(errShutdown)
+			return
+		}
+		if err != nil {
 			return
 		}
 	}
 }
 
+var errShutdown = refuse(verdict.StateAdminShutdown, "the server is shutting down")
+
+func (s *Server) shuttingDown() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults.shutdown
+}
+
 func (c *conn) close() {
 	c.cancel(net.ErrClosed)
 	c.nc.Close()
@@ -257,8 +272,8 @@
 	switch {
 	case !accepted:
 		return refuse(verdict.StateInvalidAuth, "password authentication failed for user %q", parameters["user"])
-	case s.faults.refuseLogins:
-		return refuse(verdict.StateAdminShutdown, "the server is shutting down")
+	case s.faults.refuseLogins || s.faults.shutdown:
+		return errShutdown
 	case !replica && s.occupied() >= s.cfg.MaxConnections:
 		return refuse(verdict.StateTooManyConnections, "all %d connections are in use", s.cfg.MaxConnections)
 	}
@@ -280,8 +295,9 @@
 	return c.flush()
 }
 
-// refuseLogin sends the reason why a login failed, if it is one that the client should see.
-func (c *conn) refuseLogin(err error) {
+// closeWith sends the reason why the server closes the connection, if it is one that the client
+// should see.
+func (c *conn) closeWith(err error) {
 	var r *refusal
 	if !errors.As(err, &r) {
 		return
@@ -340,8 +356,12 @@
 	return c.ctx.Err()
 }
 
-// ready ends a query cycle with ReadyForQuery, preceded by the position of a commit.
+// ready ends a query cycle with ReadyForQuery, preceded by the position of a commit. Portals end
+// with their transaction.
 func (c *conn) ready() error {
+	if c.tx == nil {
+		clear(c.portals)
+	}
 	if c.wrote != "" {
 		c.backend.Send(&pgproto3.ParameterStatus{Name: "group_position", Value: c.wrote})
 		c.wrote = ""
--- a/internal/devtarget/faults.go
+++ b/internal/devtarget/faults.go
@@ -1,6 +1,7 @@
 package devtarget
 
 import (
+	"context"
 	"maps"
 	"slices"
 	"time"
@@ -19,6 +20,7 @@
 	replication  time.Duration
 	serviceTime  time.Duration
 	refuseLogins bool
+	shutdown     bool
 }
 
 func newFaults(cfg ServerConfig) faults {
@@ -41,6 +43,13 @@
 // Kill closes the listener and all connections. Open transactions roll back; the log and the
 // promises of the server survive.
 func (s *Server) Kill() {
+	s.life.Lock()
+	defer s.life.Unlock()
+	s.kill()
+}
+
+// kill stops all goroutines of the server. The caller holds life.
+func (s *Server) kill() {
 	s.mu.Lock()
 	s.cancel()
 	s.listener.Close()
@@ -53,8 +62,34 @@
 	s.duties.Wait()
 }
 
-// Restart starts a killed server again under the same address.
-func (s *Server) Restart() error { return s.start(s.address) }
+// Shutdown ends the server in an orderly way: every connection finishes the message it is
+// processing, receives 57P01 and is closed. Open transactions roll back.
+func (s *Server) Shutdown() {
+	s.life.Lock()
+	defer s.life.Unlock()
+	s.mu.Lock()
+	s.faults.shutdown = true
+	for c := range s.conns {
+		c.nc.SetReadDeadline(time.Now()) // ends the wait for the next message
+	}
+	s.notify()
+	ctx := s.ctx
+	s.mu.Unlock()
+	limited, cancel := context.WithTimeout(ctx, shutdownLimit)
+	defer cancel()
+	if s.lockWhen(limited, func() bool { return len(s.conns) == 0 }) == nil {
+		s.mu.Unlock()
+	}
+	s.kill()
+}
+
+// Restart starts a killed or shut down server again under the same address.
+func (s *Server) Restart() error {
+	s.life.Lock()
+	defer s.life.Unlock()
+	s.change(func(f *faults) { f.shutdown = false })
+	return s.start(s.address)
+}
 
 // Freeze stops (true) or resumes (false) all work of the server. Connections stay open and new
 // ones are accepted by the operating system, but nothing is answered.
--- a/internal/devtarget/server.go
+++ b/internal/devtarget/server.go
@@ -31,6 +31,8 @@
 const (
 	// lockTimeout ends deadlocks between transactions.
 	lockTimeout = 1 * time.Second
+	// shutdownLimit bounds the wait for running statements when the server shuts down.
+	shutdownLimit = 2 * time.Second
 	// maxLogins bounds the record of logins.
 	maxLogins = 10000
 )
@@ -71,6 +73,8 @@
 	cfg   ServerConfig
 	slots *semaphore.Weighted
 
+	life sync.Mutex // serialises Kill, Shutdown and Restart
+
 	mu       sync.Mutex
 	changed  chan struct{} // closed and replaced on every change that someone may wait for
 	member   *promotion.Member[Commit]
--- a/internal/promotion/driver_test.go
+++ b/internal/promotion/driver_test.go
@@ -18,6 +18,7 @@
 // Guards against a failover that exceeds the goal, that several drivers perform one after the
 // other, or after which the old primary stays outside the group.
 func TestPrimaryFailure(t *testing.T) {
+	longest := time.Duration(0)
 	for seed := range uint64(20) {
 		is := is.New(t)
 		s := newSim(9, seed)
@@ -26,6 +27,7 @@
 		killed := s.now
 		s.run(5 * time.Second)
 		s.verify(t)
+		longest = max(longest, s.gap(killed))
 		is.True(s.gap(killed) < failoverGoal)
 		is.Equal(len(s.outcomes), 1)
 		is.True(s.outcomes[0].Primary != "s1")
@@ -35,6 +37,7 @@
 		is.True(s.settled())
 		is.Equal(s.term(), uint64(2)) // the return of the old primary needs no new term
 	}
+	t.Logf("longest gap %v", longest)
 }
 
 // Guards against a promotion because the VMs of a single failure domain have lost contact.
