--- a/internal/machine/machine_test.go
+++ b/internal/machine/machine_test.go
@@ -407,3 +407,17 @@
 	age, _ = m.FreshAge(11 * time.Second)
 	is.Equal(age, 4*time.Second)
 }
+
+// Guards against a large object that several peers announce and that is then transferred by each of
+// them, and against waiting forever for a transfer that failed.
+func TestAnnouncedObjectIsWantedOnce(t *testing.T) {
+	is := is.New(t)
+	m := newMembers(vmOf("self", "1", "d0"))
+	v := NewVersions()
+	v.Set("keys", 3)
+	announced := []Version{{"keys", 3}, {"contract", 5}}
+	is.Equal(m.Wanted(0, v, announced), []string{"contract"})
+	is.Equal(len(m.Wanted(1, v, announced)), 0)
+	is.Equal(m.Wanted(1, v, []Version{{"contract", 6}}), []string{"contract"})
+	is.Equal(m.Wanted(1+wantTimeout, v, announced), []string{"contract"})
+}
--- a/internal/machine/members.go
+++ b/internal/machine/members.go
@@ -24,6 +24,9 @@
 	maxMembers = 8192
 	// maxSample bounds the members sent to a VM that has no list.
 	maxSample = 64
+	// staleSample is the number of members asked for while the platform does not answer. It makes VMs
+	// known that have started since; a full sample would double the bytes of every Sync.
+	staleSample = 4
 	// expireInterval is the time between two scans of all members.
 	expireInterval = 5 * time.Second
 )
@@ -44,9 +47,9 @@
 type Hello struct {
 	VM            VM
 	Sequence      uint64    // grows within an incarnation
-	Digests       []uint64  // digests of the version index; empty if Versions is given
-	Versions      []Version // versions of all objects, or of those in Buckets
-	Buckets       []uint32  // in a request: buckets of Versions; in an answer: buckets that differ
+	Digests       []uint64  // in a request: digest of all versions; in an answer: digests by bucket
+	Versions      []Version // in a request: versions of all objects, or of those in Buckets
+	Buckets       []uint32  // in a request: buckets that Versions covers
 	Wanted        []string  // in an answer: objects that the answering VM lacks
 	Reports       []Report
 	Members       []VM // sample of known VMs
@@ -71,6 +74,11 @@
 	sequence uint64 // of the latest Hello
 }
 
+type wantedObject struct {
+	version uint64
+	since   time.Duration
+}
+
 // Members is one VM's view of the fleet. It is not safe for concurrent use.
 type Members struct {
 	self    VM
@@ -95,6 +103,7 @@
 	superseded  bool
 	fresh       time.Duration // the configuration held then was confirmed by the platform
 	hasFresh    bool
+	wanted      map[string]wantedObject // announced objects being waited for, by name
 	ownReports  map[string]ownReport
 	reports     map[string]map[string]heldReport // by server, by reporting VM
 
@@ -111,6 +120,7 @@
 		rng:        rng,
 		members:    make(map[string]*member),
 		byZone:     make(map[string][]string),
+		wanted:     make(map[string]wantedObject),
 		ownReports: make(map[string]ownReport),
 		reports:    make(map[string]map[string]heldReport),
 	}
@@ -416,21 +426,26 @@
 	return now - m.fresh, m.hasFresh
 }
 
-// Hello returns the request of a Sync call. again is nil, or the answer of the same peer that named
-// differing buckets; the request then carries the versions in these buckets.
+// Hello returns the request of a Sync call. again is nil, or the answer of the same peer that carried
+// digests; the request then carries the versions in some of the buckets that differ.
 func (m *Members) Hello(now time.Duration, v *Versions, again *Hello) Hello {
 	h := m.hello(now)
+	if again != nil {
+		h.Buckets = v.differing(again.Digests)
+	}
 	switch {
-	case again != nil:
-		h.Buckets = again.Buckets
-		h.Versions = v.in(again.Buckets)
+	case len(h.Buckets) > 0:
+		h.Versions = v.in(h.Buckets)
 	case v.Len() <= maxFullVersions:
 		h.Versions = v.All()
 	default:
-		h.Digests = v.digests()
+		h.Digests = []uint64{v.root()}
 	}
-	if !m.hasList || now-m.listedAt > 2*m.listInterval() {
+	switch {
+	case !m.hasList:
 		h.MembersWanted = maxSample
+	case now-m.listedAt > 2*m.listInterval():
+		h.MembersWanted = staleSample
 	}
 	return h
 }
@@ -439,10 +454,11 @@
 // passed to Heartbeat first.
 func (m *Members) Answer(now time.Duration, v *Versions, req Hello) (answer Hello, lacks []Version) {
 	h := m.hello(now)
-	if len(req.Digests) > 0 {
-		h.Buckets = v.differing(req.Digests)
-	} else {
+	switch {
+	case len(req.Digests) == 0:
 		lacks, h.Wanted = v.compare(req.Versions, req.Buckets)
+	case req.Digests[0] != v.root():
+		h.Digests = v.digests()
 	}
 	h.Members = m.sample(min(req.MembersWanted, maxSample), req.VM.Name)
 	return h, lacks
@@ -455,7 +471,7 @@
 	if err := m.Heartbeat(now, answer); err != nil {
 		return false, err
 	}
-	if len(answer.Buckets) > 0 {
+	if len(answer.Digests) > 0 {
 		return true, nil
 	}
 	// The peer confirmed its versions no earlier than FreshAge before it answered, and it answered
--- a/internal/machine/tick.go
+++ b/internal/machine/tick.go
@@ -12,16 +12,29 @@
 	// pushPeers is the number of peers that receive a newly learned version. With 4, a change reaches
 	// about 98% of the VMs by push alone; Sync reaches the rest.
 	pushPeers = 4
+	// maxPushNames is the largest number of objects that are pushed at once. A VM that learns more is
+	// catching up, and what it learns is not new to its peers.
+	maxPushNames = 32
+	// wantTimeout is the time after which an object that was asked for is asked for again. It is the
+	// deadline of a call between VMs.
+	wantTimeout = time.Second
+	// maxWanted bounds the objects that are being waited for.
+	maxWanted = 1024
 	// confirmInterval is the time between two checks of a watch holder that the platform answers.
 	confirmInterval = 2 * time.Second
-	// staleAfter is the age of the configuration after which a VM prefers the watch holders of its
-	// failure domain as sync peers.
-	staleAfter = 3 * time.Second
+	// After staleAfter without confirmation of the configuration a VM makes every fourth Sync with a
+	// watch holder of its failure domain, after veryStaleAfter every second one. This keeps VMs that
+	// are not cut off below the default of cut_off_after, 10 s.
+	staleAfter     = 4 * time.Second
+	veryStaleAfter = 5 * time.Second
+	// staleUntil ends that preference. A configuration of this age shows that the failure domain is
+	// cut off or the platform is down; the holders know no more and must not receive the calls of all.
+	staleUntil = 12 * time.Second
 	// listEntrySize is the approximate size in bytes of one VM in the platform's list.
 	listEntrySize = 130
 	// Bytes per second that a watch holder and another VM may spend on the platform's list.
-	holderListRate = 8000
-	otherListRate  = 3000
+	holderListRate = 4000
+	otherListRate  = 2000
 	// minListInterval limits the calls of a small fleet.
 	minListInterval = 2 * time.Second
 	// listRetry is the time until a list call without an answer is repeated.
@@ -72,6 +85,7 @@
 	if now >= m.nextSync {
 		m.nextSync = now + syncInterval
 		m.expire(now)
+		m.expireWanted(now)
 		actions = m.tickWatch(actions)
 		actions = m.tickSync(now, actions)
 	}
@@ -147,11 +161,12 @@
 }
 
 // syncPeer chooses the sync peer of this second. Every second choice is from the own failure domain,
-// so that a cut-off failure domain stays consistent within itself. One choice in four is a watch
-// holder while the configuration is not fresh.
+// so that a cut-off failure domain stays consistent within itself. A VM whose configuration is
+// becoming stale prefers the watch holders.
 func (m *Members) syncPeer(now time.Duration) (VM, bool) {
 	age, ok := m.FreshAge(now)
-	if (!ok || age > staleAfter) && m.rng.IntN(4) == 0 {
+	stale := ok && age > staleAfter && age < staleUntil
+	if stale && m.prefersHolder(age) {
 		holders := m.WatchHolders(m.self.Domain)
 		if len(holders) > 0 {
 			if vm := holders[m.rng.IntN(len(holders))]; vm.Name != m.self.Name {
@@ -159,7 +174,8 @@
 			}
 		}
 	}
-	if m.turn%2 == 0 {
+	// While stale, the whole fleet is asked, because both watch holders may have failed.
+	if m.turn%2 == 0 && !stale {
 		if vm, ok := m.randomPeer(m.byZone[m.self.Domain], nil); ok {
 			return vm, true
 		}
@@ -173,6 +189,13 @@
 	return VM{}, false
 }
 
+func (m *Members) prefersHolder(age time.Duration) bool {
+	if age > veryStaleAfter {
+		return m.rng.IntN(2) == 0
+	}
+	return m.rng.IntN(4) == 0
+}
+
 // randomPeer returns a random VM of the list that is live or leaving and not excluded. It gives up
 // after a full scan.
 func (m *Members) randomPeer(names []string, exclude []VM) (VM, bool) {
@@ -212,7 +235,7 @@
 // Learned returns the pushes for object versions that this VM has just learned: half of the peers
 // are from the own failure domain if it has enough.
 func (m *Members) Learned(names ...string) []Action {
-	if len(names) == 0 {
+	if len(names) == 0 || len(names) > maxPushNames {
 		return nil
 	}
 	var peers []VM
@@ -234,3 +257,28 @@
 	}
 	return []Action{PushTo{Peers: peers, Names: names}}
 }
+
+// Wanted returns the announced objects that this VM lacks and is not already waiting for, so that a
+// large object announced by several peers is transferred once.
+func (m *Members) Wanted(now time.Duration, v *Versions, announced []Version) []string {
+	var names []string
+	for _, a := range announced {
+		w := m.wanted[a.Name]
+		waiting := w.version >= a.Version && now-w.since < wantTimeout
+		if a.Version <= v.Get(a.Name) || waiting || len(m.wanted) >= maxWanted {
+			continue
+		}
+		m.wanted[a.Name] = wantedObject{version: a.Version, since: now}
+		names = append(names, a.Name)
+	}
+	return names
+}
+
+// expireWanted forgets objects that did not arrive or have been stored.
+func (m *Members) expireWanted(now time.Duration) {
+	for name, w := range m.wanted {
+		if now-w.since >= wantTimeout {
+			delete(m.wanted, name)
+		}
+	}
+}
--- a/internal/machine/versions.go
+++ b/internal/machine/versions.go
@@ -94,6 +94,16 @@
 	slices.SortFunc(list, func(a, b Version) int { return cmp.Compare(a.Name, b.Name) })
 }
 
+// root returns a digest of all versions. It is a hash of the bucket digests, not their exclusive or,
+// so that equal changes in two buckets do not cancel out.
+func (v *Versions) root() uint64 {
+	var b [8 * digestBuckets]byte
+	for i := range v.buckets {
+		binary.LittleEndian.PutUint64(b[8*i:], v.buckets[i].digest)
+	}
+	return xxhash.Sum64(b[:])
+}
+
 func (v *Versions) digests() []uint64 {
 	digests := make([]uint64, digestBuckets)
 	for i := range v.buckets {
