--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -33,10 +33,12 @@
 	log     *log.Logger
 	current atomic.Pointer[snapshot]
 
+	applyMu sync.Mutex                        // orders whole updates
+	changed func(names []string, s *snapshot) // puts s into force; called under applyMu before s is published
+
 	mu       sync.Mutex
 	catalog  *catalog.Catalog
 	versions *machine.Versions
-	changed  func(names []string, s *snapshot) // called without the lock after a change
 }
 
 func newConfig(l *log.Logger) *config {
@@ -47,12 +49,17 @@
 
 func (c *config) snapshot() *snapshot { return c.current.Load() }
 
-// apply takes over newer objects and returns the names of those that changed.
+// apply takes over newer objects and returns the names of those that changed. The new snapshot is
+// published last: an access that carries its generation must find the groups that belong to it.
 func (c *config) apply(objects []platform.Object) []string {
+	c.applyMu.Lock()
+	defer c.applyMu.Unlock()
 	names, next := c.merge(objects)
-	if len(names) > 0 && c.changed != nil {
-		c.changed(names, next)
+	if len(names) == 0 {
+		return nil
 	}
+	c.changed(names, next)
+	c.current.Store(next)
 	return names
 }
 
@@ -75,7 +82,6 @@
 		names = append(names, o.Name)
 		c.decode(&next, o)
 	}
-	c.current.Store(&next)
 	return names, &next
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -18,7 +18,6 @@
 	"github.com/rcrowley/go-metrics"
 
 	"siskinrouter/internal/audit"
-	"siskinrouter/internal/catalog"
 	"siskinrouter/internal/contract"
 	"siskinrouter/internal/fleet"
 	"siskinrouter/internal/machine"
@@ -257,22 +256,14 @@
 			continue
 		}
 		d.log.Info("configuration in force", "object", name, "version", o.Version)
-		if isOwners(name) {
-			if err := d.rates.setOwners(o, len(s.contract.Domains)); err != nil {
-				d.log.Error("owners cannot be read", "object", name, "err", err)
-			}
-		}
 	}
 	d.rates.setWorkspaces(s.contract)
+	d.rates.setAllOwners(s.contract)
 	d.groups.update(s.contract)
 	d.zones.apply(s)
 	d.sweep()
 }
 
-func isOwners(name string) bool {
-	return len(name) > len(catalog.PrefixOwners) && name[:len(catalog.PrefixOwners)] == catalog.PrefixOwners
-}
-
 // sweep ends the callers whose access ended.
 func (d *Daemon) sweep() { go d.callers.Sweep() }
 
--- a/internal/daemon/owners.go
+++ b/internal/daemon/owners.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"strconv"
 	"time"
 
 	"siskinrouter/internal/audit"
 	"siskinrouter/internal/catalog"
+	"siskinrouter/internal/contract"
 	"siskinrouter/internal/grant"
 	"siskinrouter/internal/machine"
 )
@@ -18,7 +20,7 @@
 )
 
 // decodeOwners returns the owners of a failure domain's part, which is the same for all domains.
-func decodeOwners(o catalog.Object, domains int) (grant.Owners, error) {
+func decodeOwners(o catalog.Object, c *contract.Contract) (grant.Owners, error) {
 	list, err := catalog.DecodeOwners(o.Value)
 	if err != nil {
 		return grant.Owners{}, err
@@ -26,22 +28,36 @@
 	owners := grant.Owners{
 		Domain:  o.Name[len(catalog.PrefixOwners):],
 		Version: o.Version,
-		Part:    grant.Whole / grant.Share(max(domains, 1)),
+		Part:    grant.Whole / grant.Share(len(c.Domains)),
 	}
 	for _, e := range list {
-		n, err := strconv.ParseUint(e.Incarnation, 10, 64)
+		v, err := slotHolder(e)
 		if err != nil {
-			return grant.Owners{}, fmt.Errorf("object %s: incarnation %q of VM %s: %w", o.Name, e.Incarnation, e.VM, err)
+			return grant.Owners{}, fmt.Errorf("object %s: %w", o.Name, err)
 		}
-		owners.Slots = append(owners.Slots, grant.VM{Name: e.VM, Incarnation: n})
+		owners.Slots = append(owners.Slots, v)
 	}
 	return owners, nil
 }
 
+// slotHolder returns the run of a VM that holds a slot, or the zero VM for a slot without a holder.
+func slotHolder(e catalog.Owner) (grant.VM, error) {
+	if e.VM == "" {
+		return grant.VM{}, nil
+	}
+	n, err := strconv.ParseUint(e.Incarnation, 10, 64)
+	if err != nil {
+		return grant.VM{}, fmt.Errorf("incarnation %q of VM %s: %w", e.Incarnation, e.VM, err)
+	}
+	return grant.VM{Name: e.VM, Incarnation: n}, nil
+}
+
 func encodeOwners(o grant.Owners) ([]byte, error) {
 	list := make(catalog.Owners, len(o.Slots))
 	for i, v := range o.Slots {
-		list[i] = catalog.Owner{VM: v.Name, Incarnation: strconv.FormatUint(v.Incarnation, 10)}
+		if v.Name != "" {
+			list[i] = catalog.Owner{VM: v.Name, Incarnation: strconv.FormatUint(v.Incarnation, 10)}
+		}
 	}
 	return list.Encode()
 }
@@ -72,20 +88,33 @@
 	return false
 }
 
+// maintainOwners replaces owners that are gone, in the VM's own failure domain and in domains of
+// which no VM is left. Without the latter the part of a lost domain would be refused to callers.
 func (d *Daemon) maintainOwners(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, ownersTimeout)
 	defer cancel()
-	name := catalog.PrefixOwners + d.settings.VM.Domain
-	domains := len(d.config.snapshot().contract.Domains)
-	candidates := d.ownerCandidates()
-	if domains == 0 || len(candidates) == 0 {
+	c := d.config.snapshot().contract
+	live := d.liveByDomain()
+	var errs []error
+	for _, domain := range c.Domains {
+		if domain != d.settings.VM.Domain && len(live[domain]) > 0 {
+			continue
+		}
+		errs = append(errs, d.maintainDomain(ctx, c, domain, live[d.settings.VM.Domain]))
+	}
+	return errors.Join(errs...)
+}
+
+func (d *Daemon) maintainDomain(ctx context.Context, c *contract.Contract, domain string, candidates []grant.VM) error {
+	if len(candidates) == 0 {
 		return nil
 	}
+	name := catalog.PrefixOwners + domain
 	current, known := d.config.get(name)
 	if !known {
-		return d.putOwners(ctx, name, 0, grant.InitialOwners(d.settings.VM.Domain, domains, candidates))
+		return d.putOwners(ctx, name, 0, grant.InitialOwners(domain, len(c.Domains), candidates))
 	}
-	owners, err := decodeOwners(current, domains)
+	owners, err := decodeOwners(current, c)
 	if err != nil {
 		return err
 	}
@@ -103,13 +132,11 @@
 	return live
 }
 
-// ownerCandidates returns the live VMs of the failure domain.
-func (d *Daemon) ownerCandidates() []grant.VM {
-	var vms []grant.VM
+// liveByDomain returns the live VMs of each failure domain.
+func (d *Daemon) liveByDomain() map[string][]grant.VM {
+	vms := make(map[string][]grant.VM)
 	for _, v := range d.members.live() {
-		if v.Domain == d.settings.VM.Domain {
-			vms = append(vms, runOf(v))
-		}
+		vms[v.Domain] = append(vms[v.Domain], runOf(v))
 	}
 	return vms
 }
--- a/internal/daemon/rates.go
+++ b/internal/daemon/rates.go
@@ -21,6 +21,8 @@
 	admitWait  = 100 * time.Millisecond
 	admitPause = 5 * time.Millisecond // between two attempts to be admitted
 	lendWait   = 500 * time.Millisecond
+	// ownersVersionBits is the room for the version of an owners object below that of the operators' text.
+	ownersVersionBits = 32
 )
 
 // rates is the duty that keeps each workspace within its rate and burst.
@@ -68,16 +70,26 @@
 	r.known = c.Workspaces
 }
 
-// setOwners puts an owners object into force.
-func (r *rates) setOwners(o catalog.Object, domains int) error {
-	owners, err := decodeOwners(o, domains)
-	if err != nil {
-		return err
+// setAllOwners puts the owners of every failure domain of a contract into force. The part of a domain
+// depends on the number of domains, so nothing is owned before the operators' text is known.
+func (r *rates) setAllOwners(c *contract.Contract) {
+	text, _ := r.d.config.get(catalog.NameContract)
+	for _, name := range c.Domains {
+		o, ok := r.d.config.get(catalog.PrefixOwners + name)
+		if !ok {
+			continue
+		}
+		owners, err := decodeOwners(o, c)
+		if err != nil {
+			r.d.log.Error("owners cannot be read", "object", o.Name, "err", err)
+			continue
+		}
+		// The part follows from both objects, so the order of both versions decides.
+		owners.Version |= text.Version << ownersVersionBits
+		r.mu.Lock()
+		r.manager.SetOwners(r.d.now(), owners)
+		r.mu.Unlock()
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.manager.SetOwners(r.d.now(), owners)
-	return nil
 }
 
 // admit charges one request, waiting a short time for tokens.
