Return slots of a failure domain that is alive again and rebalance them among its VMs

A domain's first owners are now written by its own VMs only, and a holder passes slots on after it has stopped using them.

--- a/internal/daemon/owners.go
+++ b/internal/daemon/owners.go
@@ -98,6 +98,7 @@
 	var errs []error
 	for _, domain := range c.Domains {
 		if domain != d.settings.VM.Domain && len(live[domain]) > 0 {
+			errs = append(errs, d.returnSlots(ctx, c, domain, live[domain]))
 			continue
 		}
 		errs = append(errs, d.maintainDomain(ctx, c, domain, live[d.settings.VM.Domain]))
@@ -105,12 +106,37 @@
 	return errors.Join(errs...)
 }
 
+// returnSlots hands slots that this VM took over back to the VMs of a failure domain that is alive again.
+// The VM gives the slots up before the update: it might be paused between the update and the moment
+// at which it learns of it.
+func (d *Daemon) returnSlots(ctx context.Context, c *contract.Contract, domain string, candidates []grant.VM) error {
+	name := catalog.PrefixOwners + domain
+	current, known := d.config.get(name)
+	if !known {
+		return nil
+	}
+	owners, err := decodeOwners(current, c)
+	if err != nil {
+		return err
+	}
+	self := runOf(d.self)
+	next, changed := owners.Replace(func(v grant.VM) bool { return v != self }, candidates)
+	if !changed {
+		return nil
+	}
+	d.rates.giveUp(next)
+	return d.putOwners(ctx, name, current.Version, next)
+}
+
 func (d *Daemon) maintainDomain(ctx context.Context, c *contract.Contract, domain string, candidates []grant.VM) error {
 	if len(candidates) == 0 {
 		return nil
 	}
 	name := catalog.PrefixOwners + domain
 	current, known := d.config.get(name)
+	if !known && domain != d.settings.VM.Domain {
+		return nil
+	}
 	if !known {
 		return d.putOwners(ctx, name, 0, grant.InitialOwners(domain, len(c.Domains), candidates))
 	}
@@ -119,13 +145,24 @@
 		return err
 	}
 	next, changed := owners.Replace(d.ownerLive, candidates)
-	if !changed {
+	if changed {
+		return d.putOwners(ctx, name, current.Version, next)
+	}
+	if domain != d.settings.VM.Domain {
 		return nil
 	}
+	if next, changed = owners.Rebalance(runOf(d.self), candidates); !changed {
+		return nil
+	}
+	d.rates.giveUp(next)
 	return d.putOwners(ctx, name, current.Version, next)
 }
 
+// ownerLive reports whether a slot's holder may still use it.
 func (d *Daemon) ownerLive(v grant.VM) (live bool) {
+	if v == (grant.VM{}) {
+		return false
+	}
 	d.members.with(func(s *machine.Members) {
 		live = !s.Dropped(v.Name, strconv.FormatUint(v.Incarnation, 10))
 	})
@@ -153,7 +190,7 @@
 	}
 	d.audit.Record(audit.Record{
 		Who: d.self.Name, What: "owners changed", Object: name, FromRevision: version, ToRevision: written,
-		Cause: "a VM that owned shares is gone, or the failure domain had no owners",
+		Cause: "VMs of the failure domain started, stopped or were lost",
 	})
 	return nil
 }
--- a/internal/daemon/rates.go
+++ b/internal/daemon/rates.go
@@ -92,6 +92,15 @@
 	}
 }
 
+// giveUp puts owners into force that this VM is about to write, so that it stops using slots first.
+func (r *rates) giveUp(next grant.Owners) {
+	text, _ := r.d.config.get(catalog.NameContract)
+	next.Version = (next.Version + 1) | text.Version<<ownersVersionBits
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.manager.SetOwners(r.d.now(), next)
+}
+
 // admit charges one request, waiting a short time for tokens.
 func (r *rates) admit(ctx context.Context, w contract.Workspace) error {
 	ok, wait, known := r.try(w.Name, true)
--- /dev/null
+++ b/internal/grant/rebalance_test.go
@@ -0,0 +1,29 @@
+package grant
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Guards against one VM that keeps the whole part of a failure domain because it started first, and against
+// a VM that moves slots of another holder.
+func TestRebalancePassesOnOwnSlotsOnly(t *testing.T) {
+	is := is.New(t)
+	a, b, c := VM{Name: "a", Incarnation: 1}, VM{Name: "b", Incarnation: 1}, VM{Name: "c", Incarnation: 1}
+	all := []VM{a, b, c}
+	o := InitialOwners("d", 1, []VM{a})
+
+	next, changed := o.Rebalance(a, all)
+	is.True(changed)
+	held := map[VM]int{}
+	for _, vm := range next.Slots {
+		held[vm]++
+	}
+	is.Equal(held, map[VM]int{a: 4, b: 4, c: 4})
+
+	_, changed = o.Rebalance(b, all)
+	is.True(!changed)
+	_, changed = next.Rebalance(a, all)
+	is.True(!changed)
+}
