--- a/internal/daemon/owners.go
+++ b/internal/daemon/owners.go
@@ -62,15 +62,14 @@
 	return list.Encode()
 }
 
-// runOwners keeps the owners of the VM's failure domain up to date until ctx ends. Only the VMs that
-// hold the domain's watches do so, and a conditional update decides between them.
+// runOwners keeps the owners of the VM's failure domain up to date until ctx ends. Owners that are gone are
+// replaced by the VMs that hold the domain's watches, and a conditional update decides between them;
+// slots in use are passed on by their holder only.
 func (d *Daemon) runOwners(ctx context.Context) error {
 	for ctx.Err() == nil {
-		if d.holdsWatch() {
-			if err := d.maintainOwners(ctx); err != nil {
-				d.counters.platformFailures.Inc(1)
-				d.log.Debug("owners not updated", "err", err)
-			}
+		if err := d.maintainOwners(ctx, d.holdsWatch()); err != nil {
+			d.counters.platformFailures.Inc(1)
+			d.log.Debug("owners not updated", "err", err)
 		}
 		sleep(ctx, ownersEvery)
 	}
@@ -90,7 +89,7 @@
 
 // maintainOwners replaces owners that are gone, in the VM's own failure domain and in domains of
 // which no VM is left. Without the latter the part of a lost domain would be refused to callers.
-func (d *Daemon) maintainOwners(ctx context.Context) error {
+func (d *Daemon) maintainOwners(ctx context.Context, replace bool) error {
 	ctx, cancel := context.WithTimeout(ctx, ownersTimeout)
 	defer cancel()
 	c := d.config.snapshot().contract
@@ -101,31 +100,22 @@
 			errs = append(errs, d.returnSlots(ctx, c, domain, live[domain]))
 			continue
 		}
-		errs = append(errs, d.maintainDomain(ctx, c, domain, live[d.settings.VM.Domain]))
+		if replace {
+			errs = append(errs, d.maintainDomain(ctx, c, domain, live[d.settings.VM.Domain]))
+		}
+		if domain == d.settings.VM.Domain {
+			errs = append(errs, d.rebalance(ctx, c, live[domain]))
+		}
 	}
 	return errors.Join(errs...)
 }
 
 // returnSlots hands slots that this VM took over back to the VMs of a failure domain that is alive again.
-// The VM gives the slots up before the update: it might be paused between the update and the moment
-// at which it learns of it.
 func (d *Daemon) returnSlots(ctx context.Context, c *contract.Contract, domain string, candidates []grant.VM) error {
-	name := catalog.PrefixOwners + domain
-	current, known := d.config.get(name)
-	if !known {
-		return nil
-	}
-	owners, err := decodeOwners(current, c)
-	if err != nil {
-		return err
-	}
 	self := runOf(d.self)
-	next, changed := owners.Replace(func(v grant.VM) bool { return v != self }, candidates)
-	if !changed {
-		return nil
-	}
-	d.rates.giveUp(next)
-	return d.putOwners(ctx, name, current.Version, next)
+	return d.passOn(ctx, c, domain, func(o grant.Owners) (grant.Owners, bool) {
+		return o.Replace(func(v grant.VM) bool { return v != self }, candidates)
+	})
 }
 
 func (d *Daemon) maintainDomain(ctx context.Context, c *contract.Contract, domain string, candidates []grant.VM) error {
@@ -145,13 +135,34 @@
 		return err
 	}
 	next, changed := owners.Replace(d.ownerLive, candidates)
-	if changed {
-		return d.putOwners(ctx, name, current.Version, next)
+	if !changed {
+		return nil
 	}
-	if domain != d.settings.VM.Domain {
+	return d.putOwners(ctx, name, current.Version, next)
+}
+
+// rebalance passes on slots that this VM holds beyond its equal part of its failure domain.
+func (d *Daemon) rebalance(ctx context.Context, c *contract.Contract, candidates []grant.VM) error {
+	return d.passOn(ctx, c, d.settings.VM.Domain, func(o grant.Owners) (grant.Owners, bool) {
+		return o.Rebalance(runOf(d.self), candidates)
+	})
+}
+
+// passOn writes owners in which this VM holds fewer slots. The VM gives the slots up before the update:
+// it might be paused between the update and the moment at which it learns of it.
+func (d *Daemon) passOn(ctx context.Context, c *contract.Contract, domain string,
+	change func(grant.Owners) (grant.Owners, bool)) error {
+	name := catalog.PrefixOwners + domain
+	current, known := d.config.get(name)
+	if !known {
 		return nil
 	}
-	if next, changed = owners.Rebalance(runOf(d.self), candidates); !changed {
+	owners, err := decodeOwners(current, c)
+	if err != nil {
+		return err
+	}
+	next, changed := change(owners)
+	if !changed {
 		return nil
 	}
 	d.rates.giveUp(next)
