Run control statements over links instead of pgconn

Cause: each status query of a monitor went through pgconn with its context watcher and result reader.

--- a/internal/target/control.go
+++ b/internal/target/control.go
@@ -6,7 +6,7 @@
 	"strconv"
 	"time"
 
-	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
 
 	"siskinrouter/internal/link"
 	"siskinrouter/internal/routing"
@@ -34,50 +34,95 @@
 
 // control is a connection for control statements.
 type control struct {
-	conn *pgconn.PgConn
+	link    *link.Link
+	columns []string // of the last answer, kept because all answers have the same
 }
 
 // openControl connects with the proxy's own credentials.
-func openControl(ctx context.Context, address string, cred link.Credentials) (*control, error) {
-	conn, err := link.Connect(ctx, address, cred)
+func openControl(ctx context.Context, server, address string, cred link.Credentials) (*control, error) {
+	l, err := link.Dial(ctx, server, address, cred)
 	if err != nil {
-		return nil, fmt.Errorf("control connection to %s: %w", address, err)
+		return nil, err
 	}
-	return &control{conn: conn}, nil
+	return &control{link: l}, nil
 }
 
-// do runs one control statement.
-func (c *control) do(ctx context.Context, statement string) (Answer, error) {
-	results, err := c.conn.Exec(ctx, statement).ReadAll()
+// do runs one control statement. An error leaves the connection unusable.
+func (c *control) do(deadline time.Time, statement string) (Answer, error) {
+	c.link.SetDeadline(deadline)
+	if err := c.link.Send(&pgproto3.Query{String: statement}); err != nil {
+		return Answer{}, err
+	}
+	if err := c.link.Flush(); err != nil {
+		return Answer{}, err
+	}
+	a, err := c.receive()
 	if err != nil {
 		return Answer{}, fmt.Errorf("%s: %w", statement, err)
 	}
-	if len(results) != 1 || len(results[0].Rows) != 1 {
-		return Answer{}, fmt.Errorf("%s: answer does not have exactly one row", statement)
+	return a, nil
+}
+
+func (c *control) receive() (Answer, error) {
+	var a Answer
+	rows := 0
+	for {
+		msg, err := c.link.Receive()
+		if err != nil {
+			return a, err
+		}
+		switch m := msg.(type) {
+		case *pgproto3.RowDescription:
+			c.setColumns(m)
+		case *pgproto3.DataRow:
+			rows++
+			if err := c.parse(&a, m); err != nil {
+				return a, err
+			}
+		case *pgproto3.ErrorResponse:
+			return a, fmt.Errorf("%s (SQLSTATE %s)", m.Message, m.Code)
+		case *pgproto3.ReadyForQuery:
+			if rows != 1 {
+				return a, fmt.Errorf("answer has %d rows instead of one", rows)
+			}
+			return a, nil
+		}
 	}
-	return parseAnswer(results[0])
 }
 
-func (c *control) close() {
-	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
-	defer cancel()
-	_ = c.conn.Close(ctx)
+func (c *control) setColumns(m *pgproto3.RowDescription) {
+	if len(c.columns) == len(m.Fields) && sameColumns(c.columns, m.Fields) {
+		return
+	}
+	c.columns = make([]string, len(m.Fields))
+	for i, f := range m.Fields {
+		c.columns[i] = string(f.Name)
+	}
 }
 
-// closeTimeout bounds the farewell on a control connection whose peer may no longer answer.
-const closeTimeout = 50 * time.Millisecond
+func sameColumns(columns []string, fields []pgproto3.FieldDescription) bool {
+	for i, f := range fields {
+		if columns[i] != string(f.Name) {
+			return false
+		}
+	}
+	return true
+}
 
-func parseAnswer(r *pgconn.Result) (Answer, error) {
-	var a Answer
-	var err error
-	for i, field := range r.FieldDescriptions {
-		if err = a.set(field.Name, string(r.Rows[0][i])); err != nil {
-			return Answer{}, fmt.Errorf("column %s: %w", field.Name, err)
+func (c *control) parse(a *Answer, row *pgproto3.DataRow) error {
+	if len(row.Values) != len(c.columns) {
+		return fmt.Errorf("row has %d values for %d columns", len(row.Values), len(c.columns))
+	}
+	for i, column := range c.columns {
+		if err := a.set(column, string(row.Values[i])); err != nil {
+			return fmt.Errorf("column %s: %w", column, err)
 		}
 	}
-	return a, nil
+	return nil
 }
 
+func (c *control) close() { c.link.Close() }
+
 func (a *Answer) set(column, value string) (err error) {
 	switch column {
 	case columnRole:
--- a/internal/target/monitor.go
+++ b/internal/target/monitor.go
@@ -33,7 +33,6 @@
 }
 
 type command struct {
-	ctx       context.Context
 	statement string
 	reply     chan reply
 }
@@ -62,7 +61,7 @@
 
 // command runs a statement on the control connection after those already queued.
 func (m *monitor) command(ctx context.Context, statement string) (Answer, error) {
-	c := command{ctx: ctx, statement: statement, reply: make(chan reply, 1)}
+	c := command{statement: statement, reply: make(chan reply, 1)}
 	select {
 	case m.commands <- c:
 	case <-ctx.Done():
@@ -115,7 +114,7 @@
 	if err := m.connect(ctx); err != nil {
 		return err
 	}
-	if err := m.query(ctx, m.nextStatement()); err != nil {
+	if err := m.query(m.nextStatement()); err != nil {
 		return err
 	}
 	for ctx.Err() == nil && !m.demanded() {
@@ -141,7 +140,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, m.group.cfg.ConnectTimeout)
 	defer cancel()
-	conn, err := openControl(ctx, m.server.Address, m.group.cfg.Credentials)
+	conn, err := openControl(ctx, m.server.Name, m.server.Address, m.group.cfg.Credentials)
 	if err != nil {
 		return err
 	}
@@ -149,34 +148,32 @@
 	return nil
 }
 
-func (m *monitor) query(ctx context.Context, statement string) error {
-	ctx, cancel := context.WithTimeout(ctx, m.group.cfg.AnswerTimeout)
-	defer cancel()
+func (m *monitor) query(statement string) error {
 	sentAt := m.group.cfg.Clock()
-	a, err := m.conn.do(ctx, statement)
+	a, err := m.conn.do(time.Now().Add(m.group.cfg.AnswerTimeout), statement)
 	if err != nil {
 		return err
 	}
-	m.sentAt = sentAt
-	m.held = a.Status.Held
-	m.group.observe(m.server.Name, sentAt, a)
+	m.observe(sentAt, a)
 	return nil
 }
 
 // execute runs a command. A failed command breaks the connection, because its answer may still come.
 func (m *monitor) execute(c command) error {
-	ctx, cancel := context.WithTimeout(c.ctx, m.group.cfg.AnswerTimeout)
-	defer cancel()
 	sentAt := m.group.cfg.Clock()
-	a, err := m.conn.do(ctx, c.statement)
+	a, err := m.conn.do(time.Now().Add(m.group.cfg.AnswerTimeout), c.statement)
 	c.reply <- reply{answer: a, err: err}
 	if err != nil {
 		return err
 	}
+	m.observe(sentAt, a)
+	return nil
+}
+
+func (m *monitor) observe(sentAt time.Duration, a Answer) {
 	m.sentAt = sentAt
 	m.held = a.Status.Held
 	m.group.observe(m.server.Name, sentAt, a)
-	return nil
 }
 
 // demanded reports whether waiting requests need another query of this server now.
