--- a/internal/grant/borrow.go
+++ b/internal/grant/borrow.go
@@ -20,12 +20,19 @@
 type plan struct {
 	asks    map[VM][]intent
 	recalls map[VM][]string
+	urgent  map[VM]bool // a request waits for the answer, or another VM for the return
 }
 
-// Poll returns the borrow requests to send now. Requests of which no answer arrives need no
+// Poll returns the borrow requests to send now. It is called every PollInterval, and after a refusal
+// or the receipt of a message; calls that come too early do nothing. Requests of which no answer arrives need no
 // further attention, but Unreachable saves the time until the next attempt.
 func (m *Manager) Poll(now time.Duration) []BorrowRequest {
-	p := plan{asks: map[VM][]intent{}, recalls: map[VM][]string{}}
+	if now < m.planAt {
+		return nil
+	}
+	m.plannedAt = now
+	m.planAt = now + PollInterval
+	p := plan{asks: map[VM][]intent{}, recalls: map[VM][]string{}, urgent: map[VM]bool{}}
 	for _, name := range m.names {
 		s := m.spaces[name]
 		m.planLoans(now, s, &p)
@@ -41,8 +48,8 @@
 	return out
 }
 
-// receivers returns the VMs for which p has a message, in random order, so that the bound on
-// messages disadvantages none of them.
+// receivers returns the VMs for which p has a message, urgent ones first and otherwise in random
+// order, so that the bound on messages disadvantages none of them.
 func (m *Manager) receivers(p *plan) []VM {
 	var vms []VM
 	for vm := range p.asks {
@@ -55,6 +62,15 @@
 	}
 	slices.SortFunc(vms, VM.Compare)
 	m.random.Shuffle(len(vms), func(i, j int) { vms[i], vms[j] = vms[j], vms[i] })
+	slices.SortStableFunc(vms, func(a, b VM) int {
+		if p.urgent[a] == p.urgent[b] {
+			return 0
+		}
+		if p.urgent[a] {
+			return -1
+		}
+		return 1
+	})
 	return vms
 }
 
@@ -80,6 +96,7 @@
 	for _, i := range p.asks[vm] {
 		ask := i.space.account.Ask(now, vm, i.want)
 		ask.Need = m.need(now, i.space)
+		ask.Short = m.short(now, i.space)
 		l := i.space.lender(vm)
 		l.askedAt = now
 		l.outstanding = true
@@ -174,13 +191,18 @@
 	if float64(share) > float64(need)*surplus {
 		m.planReturns(now, s, list, wants, due, share-target)
 	}
+	short := m.short(now, s)
 	if share < need {
-		m.planGrowth(now, s, list, wants, due, target-share)
+		m.planGrowth(now, s, list, wants, due, target-share, short)
 	}
 	for i, c := range list {
-		if due[i] && !s.lender(c.vm).waiting(now) {
-			p.asks[c.vm] = append(p.asks[c.vm], intent{space: s, want: wants[i]})
+		l := s.lender(c.vm)
+		if !due[i] || l.waiting(now) {
+			continue
 		}
+		p.asks[c.vm] = append(p.asks[c.vm], intent{space: s, want: wants[i]})
+		grows := short && wants[i] > c.held && l.expected(now, c) > 0
+		p.urgent[c.vm] = p.urgent[c.vm] || grows || l.reduce
 	}
 }
 
@@ -199,8 +221,9 @@
 }
 
 // planGrowth spreads a deficit over the lenders that can be expected to cover it, and lets the
-// others know of the need from time to time.
-func (m *Manager) planGrowth(now time.Duration, s *space, list []candidate, wants []Share, due []bool, deficit Share) {
+// others know of the need from time to time. A deficit that is not urgent is added to asks that are
+// due anyway or that the last one is long enough past.
+func (m *Manager) planGrowth(now time.Duration, s *space, list []candidate, wants []Share, due []bool, deficit Share, urgent bool) {
 	for i, c := range list {
 		l := s.lender(c.vm)
 		expected := l.expected(now, c)
@@ -209,20 +232,21 @@
 			continue
 		}
 		more := min(deficit, expected)
-		if more <= 0 || l.reduce {
+		review := now-l.askedAt >= reviewInterval
+		if more <= 0 || l.reduce || !(urgent || due[i] || review) {
 			continue
 		}
 		wants[i] += more
 		due[i] = true
 		deficit -= more
 	}
-	if deficit <= 0 || len(list) == 0 {
+	if deficit <= 0 || len(list) == 0 || !urgent {
 		return
 	}
 	each := deficit/Share(len(list)) + 1
 	for i, c := range list {
 		l := s.lender(c.vm)
-		if l.reduce || (!due[i] && now-l.askedAt < reviewInterval) {
+		if l.reduce || (!due[i] && now-l.askedAt < retryInterval) {
 			continue
 		}
 		wants[i] += each
@@ -264,6 +288,7 @@
 	if !applied && g.Amount < held {
 		l.reduce = true
 		l.keep = g.Amount
+		m.planSoon()
 	}
 }
 
--- a/internal/grant/demand.go
+++ b/internal/grant/demand.go
@@ -48,9 +48,12 @@
 	d.fall.add(now, n)
 }
 
-// value returns the estimate with an allowance of one standard deviation for the small number of
-// requests that it is based on.
+// value returns the estimate. It follows an increase with riseTime. It follows a decrease with
+// fallTime, or faster once the decrease cannot be chance. An allowance of one standard deviation
+// covers the small number of requests that the estimate is based on.
 func (d *demand) value(now time.Duration) float64 {
-	mean := max(d.rise.value(now), d.fall.value(now))
+	rise := d.rise.value(now)
+	likely := rise + 2*math.Sqrt(rise/(2*riseTime.Seconds())) + 1/riseTime.Seconds()
+	mean := max(rise, min(d.fall.value(now), likely))
 	return mean + math.Sqrt(mean/fallTime.Seconds())
 }
--- a/internal/grant/grant.go
+++ b/internal/grant/grant.go
@@ -80,6 +80,7 @@
 	Want      Share  // share that the borrower would like to hold from this lender
 	Have      Share  // share that the borrower holds from elsewhere
 	Need      Share  // share that matches the borrower's demand
+	Short     bool   // the borrower's tokens will soon be used up
 }
 
 // Grant answers an Ask.
--- a/internal/grant/lend.go
+++ b/internal/grant/lend.go
@@ -14,6 +14,7 @@
 	for _, name := range r.Recalls {
 		if s := m.spaces[name]; s != nil {
 			s.lender(r.From).recalled = true
+			m.planSoon()
 		}
 	}
 	reply = BorrowReply{From: m.self, To: r.From}
@@ -37,27 +38,28 @@
 // standing is the share and need of one VM as the lender knows them.
 type standing struct {
 	share, need Share
+	short       bool
 }
 
 // ratio returns share relative to need.
 func (s standing) ratio() float64 { return float64(s.share) / float64(max(s.need, 1)) }
 
-// short reports whether the VM has less than the common ratio, or less than its need if there is
-// enough for all.
-func (s standing) short(common float64) bool {
-	return s.need > 0 && s.ratio() < min(common, 1)*shortRatio
+// wronged reports whether the VM is short and below the common ratio, or below its need if there
+// is enough for all.
+func (s standing) wronged(common float64) bool {
+	return s.short && s.ratio() < min(common, 1)*shortRatio
 }
 
 // standings returns this VM's standing and those of the borrowers that have asked recently.
 func (m *Manager) standings(now time.Duration, s *space) (own standing, others map[VM]standing) {
-	own = standing{share: s.account.Share(now), need: m.need(now, s)}
+	own = standing{share: s.account.Share(now), need: m.need(now, s), short: m.short(now, s)}
 	others = map[VM]standing{}
 	for vm, c := range s.claims {
 		if now-c.at > claimLifetime {
 			delete(s.claims, vm)
 			continue
 		}
-		others[vm] = standing{share: c.have + s.account.Lent(now, vm), need: c.need}
+		others[vm] = standing{share: c.have + s.account.Lent(now, vm), need: c.need, short: c.short}
 	}
 	return own, others
 }
@@ -83,28 +85,31 @@
 	common := commonRatio(own, others)
 	lent := s.account.Lent(now, borrower)
 	kept := min(lent, ask.Keep)
-	theirs := standing{share: ask.Have + kept, need: ask.Need}
+	theirs := standing{share: ask.Have + kept, need: ask.Need, short: ask.Short}
 
-	pool := s.account.Lendable(now) + lent - kept
-	borrowed := own.share - s.account.Lendable(now)
-	keep := max(Share(min(common, maxKeep)*float64(own.need))-borrowed, 0)
-	free := max(pool-keep, 0)
-	if ask.Want > kept {
-		grow := min(ask.Want-kept, free)
-		if common < 1 {
-			grow = min(grow, Share(common*float64(ask.Need))-theirs.share)
-		}
-		grow = max(grow, 0)
-		if standing.short(standing{theirs.share + grow, theirs.need}, common) {
-			s.contestedUntil = now + hintLifetime
-		}
-		return kept + grow, free - grow
-	}
-	if theirs.ratio() > common*unevenness && m.othersShort(own, others, borrower, common) {
+	if theirs.ratio() > common*unevenness && othersWronged(own, others, borrower, common) {
 		scale := max(common/theirs.ratio(), leastReturn)
-		return Share(float64(kept) * scale), free
+		return Share(float64(kept) * scale), 0
+	}
+	free := m.free(now, s, own, common) + lent - kept
+	grow := min(ask.Want-kept, free)
+	if common < 1 {
+		grow = min(grow, Share(common*float64(ask.Need))-theirs.share)
+	}
+	grow = max(grow, 0)
+	theirs.share += grow
+	if theirs.wronged(common) {
+		s.contestedUntil = now + hintLifetime
 	}
-	return kept, free
+	return kept + grow, max(free-grow, 0)
+}
+
+// free returns the owned share that is neither lent nor due to this VM itself.
+func (m *Manager) free(now time.Duration, s *space, own standing, common float64) Share {
+	lendable := s.account.Lendable(now)
+	borrowed := own.share - lendable
+	keep := max(Share(min(common, maxKeep)*float64(own.need))-borrowed, 0)
+	return max(lendable-keep, 0)
 }
 
 // noteClaim records the standing of a borrower.
@@ -116,39 +121,39 @@
 	}
 	c.need = ask.Need
 	c.have = ask.Have
+	c.short = ask.Short
 	c.at = now
 }
 
-// othersShort reports whether this VM or a borrower other than the given one is short.
-func (m *Manager) othersShort(own standing, others map[VM]standing, borrower VM, common float64) bool {
-	if own.short(common) {
+// othersWronged reports whether this VM or a borrower other than the given one is wronged.
+func othersWronged(own standing, others map[VM]standing, borrower VM, common float64) bool {
+	if own.wronged(common) {
 		return true
 	}
 	for vm, o := range others {
-		if vm != borrower && o.short(common) {
+		if vm != borrower && o.wronged(common) {
 			return true
 		}
 	}
 	return false
 }
 
-// planRecalls asks borrowers above the common ratio to renew early while this VM or another
-// borrower is short.
+// planRecalls asks borrowers to renew early: those above the common ratio while another VM is
+// wronged, and short ones when there is a share to lend again.
 func (m *Manager) planRecalls(now time.Duration, s *space, p *plan) {
 	if len(s.claims) == 0 {
 		return
 	}
 	own, others := m.standings(now, s)
 	common := commonRatio(own, others)
-	if !own.short(common) && now >= s.contestedUntil {
-		return
-	}
+	contested := own.wronged(common) || now < s.contestedUntil
+	free := m.free(now, s, own, common)
 	for _, vm := range slices.SortedFunc(maps.Keys(others), VM.Compare) {
-		lent := s.account.Lent(now, vm)
-		c := s.claims[vm]
-		if lent == 0 || others[vm].ratio() <= common*unevenness || now-c.recalledAt < reviewInterval {
-			continue
+		o := others[vm]
+		above := contested && s.account.Lent(now, vm) > 0 && o.ratio() > common*unevenness
+		below := o.wronged(common) && free > leastOffer
+		if (above || below) && now-s.claims[vm].recalledAt >= reviewInterval {
+			p.recalls[vm] = append(p.recalls[vm], s.name)
 		}
-		p.recalls[vm] = append(p.recalls[vm], s.name)
 	}
 }
--- a/internal/grant/manager.go
+++ b/internal/grant/manager.go
@@ -8,8 +8,10 @@
 )
 
 const (
-	// PollInterval is the longest time between two calls of Poll while there is demand.
-	PollInterval = 20 * time.Millisecond
+	// PollInterval is the longest time between two calls of Poll. Loans are planned this often.
+	PollInterval = 10 * time.Millisecond
+	// urgentInterval is the least time between two plans, however many requests are refused.
+	urgentInterval = 5 * time.Millisecond
 	// askTimeout is how long an ask counts as outstanding. An answer that arrives later is ignored
 	// if a further ask has been sent.
 	askTimeout = 100 * time.Millisecond
@@ -18,6 +20,8 @@
 	renewBefore = LoanLifetime / 2
 	// reviewInterval is the time between two asks to the same lender that are not urgent.
 	reviewInterval = 200 * time.Millisecond
+	// retryInterval is the time between two asks to a lender that had nothing to lend.
+	retryInterval = 400 * time.Millisecond
 	// hintLifetime is how long the spare share reported by a lender is believed.
 	hintLifetime = 500 * time.Millisecond
 	// claimLifetime is how long a borrower's demand counts after its last ask. It exceeds the time
@@ -28,22 +32,27 @@
 
 	// peerRate and peerBurst bound the messages to one VM, messageRate and messageBurst those to
 	// all VMs. One message carries the asks of all workspaces.
-	peerRate     = 10.0 // per second
+	peerRate     = 5.0 // per second
 	peerBurst    = 5.0
-	messageRate  = 100.0 // per second
+	messageRate  = 40.0 // per second
 	messageBurst = 32.0
 
+	// horizon is how far ahead a VM looks for the end of its tokens. A deficit of share that the
+	// tokens cover for longer than this is left alone.
+	horizon = time.Second
+
 	// borrowWait is the wait proposed to a request that needs a loan first.
 	borrowWait = 5 * time.Millisecond
 )
 
 const (
 	headroom    = 1.3 // share asked for, relative to the need
-	surplus     = 1.6 // share, relative to the need, above which the excess is returned early
+	surplus     = 2.0 // share, relative to the need, above which the excess is returned early
 	maxKeep     = 1.5 // share that a lender keeps for itself, relative to its need
 	unevenness  = 1.1 // tolerated excess over the common ratio of share to need
 	shortRatio  = 0.95
-	leastReturn = 0.5 // least part of a loan that remains after one recall
+	leastOffer  = Whole / 128 // free share of which a lender informs a short borrower
+	leastReturn = 0.5         // least part of a loan that remains after one recall
 )
 
 // Peer is another VM and its failure domain.
@@ -66,8 +75,14 @@
 	peers    map[VM]*peer
 	sending  budget
 	stats    Stats
+	// plannedAt and planAt are the times of the last and of the next plan.
+	plannedAt, planAt time.Duration
 }
 
+// planSoon brings the next plan forward. All workspaces are planned together, so that one message
+// carries the asks of all.
+func (m *Manager) planSoon() { m.planAt = min(m.planAt, m.plannedAt+urgentInterval) }
+
 // Stats are counters since the start of the manager.
 type Stats struct {
 	Requests, Replies int64 // borrow requests sent and answered
@@ -101,6 +116,7 @@
 // claim is what a lender knows of one borrower.
 type claim struct {
 	need, have Share // have excludes what this VM lends
+	short      bool
 	at         time.Duration
 	recalledAt time.Duration
 }
@@ -301,6 +317,7 @@
 		return true, 0
 	}
 	m.stats.Refused++
+	m.planSoon()
 	if n*Token > s.account.burst {
 		return false, Never
 	}
@@ -332,3 +349,15 @@
 	least := (int64(Whole)*Token + a.burst - 1) / a.burst
 	return Share(min(max(share, float64(least)), float64(Whole)))
 }
+
+// short reports whether the share is below the need and the tokens do not cover the difference for
+// long.
+func (m *Manager) short(now time.Duration, s *space) bool {
+	a := s.account
+	missing := m.need(now, s) - a.Share(now)
+	if missing <= 0 {
+		return false
+	}
+	perSecond := mulDiv(a.rate, int64(missing), int64(Whole))
+	return a.tokens < Token+mulDiv(perSecond, int64(horizon), int64(time.Second))
+}
