--- a/internal/grant/machine_test.go
+++ b/internal/grant/machine_test.go
@@ -63,6 +63,7 @@
 // Guards against over-admission in long sequences with arbitrary amounts and times, which the
 // exploration does not reach.
 func TestMachine(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(standardRules)
 		t.Repeat(map[string]func(*rapid.T){
--- a/internal/grant/policy_test.go
+++ b/internal/grant/policy_test.go
@@ -576,6 +576,7 @@
 
 // Guards against a VM without an owned share that refuses its first request instead of borrowing.
 func TestNewVMBorrowsAtFirstRequest(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	w := newTrial(1, 1)
 	b := newBorrowing(w, 8)
@@ -587,6 +588,7 @@
 
 // Guards against a lender that serves the first of two borrowers and starves the other one.
 func TestBorrowersShareInProportion(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	w := newTrial(1, 1)
 	b := newBorrowing(w, 7)
@@ -603,6 +605,7 @@
 
 // Guards against a share that stays where demand was.
 func TestShareFollowsDemandWithinASecond(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	w := newTrial(1, 1)
 	b := newBorrowing(w, 9)
