--- a/internal/devtarget/execute.go
+++ b/internal/devtarget/execute.go
@@ -154,7 +154,7 @@
 	granted := false
 	switch stmt.kind {
 	case kindStatus:
-		return one("SHOW", statusRow(s.status())...), nil
+		return one("SHOW", s.status().Row()...), nil
 	case kindFence:
 		granted = s.member.Fence(term, stmt.args[1].text)
 	case kindPromote:
@@ -163,7 +163,7 @@
 		granted = s.member.Follow(term, stmt.args[1].text)
 	}
 	s.notify()
-	return one("SELECT 1", append([]string{strconv.FormatBool(granted)}, statusRow(s.status())...)...), nil
+	return one("SELECT 1", append([]string{strconv.FormatBool(granted)}, s.status().Row()...)...), nil
 }
 
 // groupWait waits until the server holds a position, has promised a higher term, or the time
@@ -190,19 +190,12 @@
 		return result{}, err
 	}
 	defer s.mu.Unlock()
-	return one("SELECT 1", statusRow(s.status())...), nil
+	return one("SELECT 1", s.status().Row()...), nil
 }
 
 // errElapsed ends a group_wait whose time has elapsed.
 var errElapsed = errors.New("wait time has elapsed")
 
-func statusRow(st promotion.Status) []string {
-	return []string{
-		st.Server, st.Role.String(), strconv.FormatUint(st.Promised, 10), st.Held.String(),
-		st.Applied.String(), strconv.Itoa(st.Active), st.Primary,
-	}
-}
-
 // number returns an integer argument.
 func number[T int64 | uint64](stmt statement, i int) (T, error) {
 	n, err := strconv.ParseInt(stmt.args[i].text, 10, 64)
--- a/internal/devtarget/statement.go
+++ b/internal/devtarget/statement.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"strconv"
 	"strings"
+
+	"siskinrouter/internal/promotion"
 )
 
 // kind names a statement; it is also the key of the statement counters.
@@ -50,9 +52,7 @@
 	columns []string
 }
 
-var statusColumns = []string{"server", "role", "promised_term", "held", "applied", "active", "primary"}
-
-var grantColumns = append([]string{"granted"}, statusColumns...)
+var grantColumns = append([]string{"granted"}, promotion.StatusColumns...)
 
 var shapes = map[kind]shape{
 	kindPut:     {args: 2},
@@ -63,8 +63,8 @@
 	kindSelect1: {columns: []string{"?column?"}},
 	kindRequest: {args: 1, columns: []string{"state", "tag", "term", "position"}},
 	kindOutcome: {args: 2},
-	kindStatus:  {columns: statusColumns},
-	kindWait:    {args: 3, columns: statusColumns},
+	kindStatus:  {columns: promotion.StatusColumns},
+	kindWait:    {args: 3, columns: promotion.StatusColumns},
 	kindFence:   {args: 2, columns: grantColumns},
 	kindPromote: {args: 2, columns: grantColumns},
 	kindFollow:  {args: 2, columns: grantColumns},
--- a/internal/promotion/member.go
+++ b/internal/promotion/member.go
@@ -10,6 +10,8 @@
 	"errors"
 	"fmt"
 	"slices"
+	"sort"
+	"strconv"
 
 	"siskinrouter/internal/session"
 )
@@ -60,6 +62,36 @@
 	Primary  string           // address of the primary that the server follows; empty if none
 }
 
+// StatusColumns are the names of the columns of a status row, in order.
+var StatusColumns = []string{"server", "role", "promised_term", "held", "applied", "active", "primary"}
+
+// Row returns the values of the status row in the order of StatusColumns.
+func (s Status) Row() []string {
+	return []string{
+		s.Server, s.Role.String(), strconv.FormatUint(s.Promised, 10), s.Held.String(),
+		s.Applied.String(), strconv.Itoa(s.Active), s.Primary,
+	}
+}
+
+// ParseStatus parses a row that ends with the status columns; columns before them are ignored.
+func ParseStatus(row []string) (Status, error) {
+	if len(row) < len(StatusColumns) {
+		return Status{}, fmt.Errorf("status row has %d columns instead of %d", len(row), len(StatusColumns))
+	}
+	row = row[len(row)-len(StatusColumns):]
+	role, roleErr := ParseRole(row[1])
+	promised, promisedErr := strconv.ParseUint(row[2], 10, 64)
+	held, heldErr := session.ParsePosition(row[3])
+	applied, appliedErr := session.ParsePosition(row[4])
+	active, activeErr := strconv.Atoi(row[5])
+	if err := errors.Join(roleErr, promisedErr, heldErr, appliedErr, activeErr); err != nil {
+		return Status{}, fmt.Errorf("status row of server %q: %w", row[0], err)
+	}
+	return Status{
+		Server: row[0], Role: role, Promised: promised, Held: held, Applied: applied, Active: active, Primary: row[6],
+	}, nil
+}
+
 // Confirms reports whether the status proves that the server holds pos, a position written by
 // the primary of pos.Term. A log that ends in a later term proves nothing: its primary may
 // have discarded pos, although the position compares as covered.
@@ -219,10 +251,11 @@
 // replica sends them so that the primary finds the last position common to both logs.
 func (m *Member[D]) Boundaries() []session.Position {
 	var all []session.Position
-	for i, e := range m.log {
-		if i+1 == len(m.log) || m.log[i+1].Term != e.Term {
-			all = append(all, session.Position{Term: e.Term, Offset: uint64(i + 1)})
-		}
+	for end := 0; end < len(m.log); {
+		term := m.log[end].Term
+		// Terms never decrease along the log.
+		end += sort.Search(len(m.log)-end, func(i int) bool { return m.log[end+i].Term > term })
+		all = append(all, session.Position{Term: term, Offset: uint64(end)})
 	}
 	return all
 }
--- a/internal/promotion/sim_test.go
+++ b/internal/promotion/sim_test.go
@@ -7,8 +7,6 @@
 	"slices"
 	"testing"
 	"time"
-
-	"siskinrouter/internal/session"
 )
 
 // Intervals of the simulation.
@@ -206,24 +204,28 @@
 			s.write(i)
 		}
 	}
-	acked := 0
-	for _, w := range s.writes {
-		if w.acked {
-			acked++
-		}
-	}
+	before := s.acked()
 	s.check()
-	for _, w := range s.writes {
-		if w.acked {
-			acked--
-		}
-	}
-	for ; acked < 0; acked++ {
+	for range s.acked() - before {
 		s.ackedAt = append(s.ackedAt, s.now)
 	}
 	s.after(simStep, s.background)
 }
 
+// recentWrites bounds the writes that are still being confirmed.
+const recentWrites = 50
+
+// acked returns the number of acknowledged writes among the recent ones.
+func (s *sim) acked() int {
+	n := 0
+	for _, w := range s.writes[max(0, len(s.writes)-recentWrites):] {
+		if w.acked {
+			n++
+		}
+	}
+	return n
+}
+
 func (s *sim) replicate(i int, from *Member[int], j int, to *Member[int]) {
 	linked := s.reach(groupServers[i].Domain, groupServers[j].Domain) && !s.down[from.name] && !s.down[to.name] &&
 		!s.silent[from.name] && !s.silent[to.name]
@@ -235,21 +237,9 @@
 	}
 }
 
-// check confirms outstanding writes and verifies the invariants on the latest writes; a lost
-// older write would have been found while it was among them.
+// check confirms recent writes and verifies the invariants.
 func (s *sim) check() {
-	const recent = 50
-	all := s.writes
-	if len(all) > recent {
-		base := len(all) - recent
-		s.checkFrom(base)
-		return
-	}
-	s.world.check()
-}
-
-func (s *sim) checkFrom(base int) {
-	for i := base; i < len(s.writes); i++ {
+	for i := max(0, len(s.writes)-recentWrites); i < len(s.writes); i++ {
 		s.confirm(i)
 	}
 	for _, m := range s.members {
@@ -333,5 +323,3 @@
 	}
 	return term
 }
-
-func (s *sim) held(name string) session.Position { return s.member(name).Held() }
