Resolve writes whose primary was replaced by the log of the new primary

Cause: a write that the old primary had executed ended with 08007 as soon as a majority had promised a later term, although the new primary's log tells what became of it. Servers now report the last position of their latest terms. A write that is part of the new primary's log is acknowledged; one that is not can never become part of it, so it is not run and the proxy sends it to the new primary. Before: a write to an isolated primary ended with 08007 after the promotion.

--- a/internal/promotion/member.go
+++ b/internal/promotion/member.go
@@ -60,16 +60,17 @@
 	Applied  session.Position // last log entry visible to reads
 	Active   int              // open transactions
 	Primary  string           // address of the primary that the server follows; empty if none
+	Terms    string           // last positions of the latest terms in the log, see session.ParsePositions
 }
 
 // StatusColumns are the names of the columns of a status row, in order.
-var StatusColumns = []string{"server", "role", "promised_term", "held", "applied", "active", "primary"}
+var StatusColumns = []string{"server", "role", "promised_term", "held", "applied", "active", "primary", "terms"}
 
 // Row returns the values of the status row in the order of StatusColumns.
 func (s Status) Row() []string {
 	return []string{
 		s.Server, s.Role.String(), strconv.FormatUint(s.Promised, 10), s.Held.String(),
-		s.Applied.String(), strconv.Itoa(s.Active), s.Primary,
+		s.Applied.String(), strconv.Itoa(s.Active), s.Primary, s.Terms,
 	}
 }
 
@@ -88,10 +89,14 @@
 		return Status{}, fmt.Errorf("status row of server %q: %w", row[0], err)
 	}
 	return Status{
-		Server: row[0], Role: role, Promised: promised, Held: held, Applied: applied, Active: active, Primary: row[6],
+		Server: row[0], Role: role, Promised: promised, Held: held, Applied: applied, Active: active, Primary: row[6], Terms: row[7],
 	}, nil
 }
 
+// reportedTerms bounds the terms in a status row. A write whose outcome is still asked for is at most
+// a few terms old.
+const reportedTerms = 4
+
 // Confirms reports whether the status proves that the server holds pos, a position written by
 // the primary of pos.Term. A log that ends in a later term proves nothing: its primary may
 // have discarded pos, although the position compares as covered.
@@ -165,7 +170,14 @@
 
 // Status returns the status of the server. The caller fills in Applied and Active.
 func (m *Member[D]) Status() Status {
-	return Status{Server: m.name, Role: m.role, Promised: m.promised, Held: m.Held(), Primary: m.primary}
+	terms := m.Boundaries()
+	if len(terms) > reportedTerms {
+		terms = terms[len(terms)-reportedTerms:]
+	}
+	return Status{
+		Server: m.name, Role: m.role, Promised: m.promised, Held: m.Held(), Primary: m.primary,
+		Terms: session.FormatPositions(terms),
+	}
 }
 
 // Held returns the position of the last log entry.
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -393,3 +393,21 @@
 		f.t.Error(err)
 	}
 }
+
+// Guards against a write that ends without a known outcome, or runs twice, when an isolated primary that
+// executed it is replaced.
+func TestLostWriteRunsOnceOnNewPrimary(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, nil)
+	conn := f.connect(f.vm("a"), "ledger", nil)
+	exec(t, conn, "ADD n 1")
+	old := f.targets.Primary()
+	old.IsolatePeers(true)
+	go func() {
+		time.Sleep(200 * time.Millisecond)
+		f.promote(2, old.Name())
+	}()
+	exec(t, conn, "ADD n 1")
+	is.Equal(get(t, conn, "n"), "2")
+	is.Equal(old.Counts()["ADD"], int64(2)) // the isolated primary had executed the lost write
+}
--- a/internal/routing/view.go
+++ b/internal/routing/view.go
@@ -28,6 +28,8 @@
 	Applied      session.Position // end of the log that reads see
 	Active       int              // open transactions
 	Primary      string           // address of the primary that the server follows; empty if none
+	// Terms are the last positions of the latest terms in the log, in ascending order.
+	Terms []session.Position
 }
 
 // Server describes one server of the group.
@@ -205,12 +207,45 @@
 	return n >= v.Majority()
 }
 
-// Superseded reports whether a majority has promised a later term than term, so that no further
-// write of term can be confirmed by new replication.
-func (v *View) Superseded(term uint64) bool {
+// Outcome says what became of a write whose primary was replaced before a majority confirmed it.
+type Outcome uint8
+
+// Outcomes of a write.
+const (
+	Unknown  Outcome = iota // not known yet, or no longer
+	Survived                // part of the log of a later term that a majority holds
+	Lost                    // not part of it, so no later primary can have it
+)
+
+// Resolve returns the outcome of the write at p. It is known once a majority holds the first entry of a
+// later term: from then on every primary has that term's log, which shows whether p is part of it.
+func (v *View) Resolve(p session.Position) Outcome {
+	name, term, ok := v.Leader()
+	if !ok || term <= p.Term {
+		return Unknown
+	}
+	terms := v.servers[name].status.Terms
+	if len(terms) == 0 || terms[0].Term > p.Term {
+		// The report is bounded; the term of p may have been left out.
+		return Unknown
+	}
+	last := terms[len(terms)-1]
+	if last.Term != term || !v.holdTerm(term) {
+		return Unknown
+	}
+	for _, t := range terms {
+		if t.Term == p.Term && t.Offset >= p.Offset {
+			return Survived
+		}
+	}
+	return Lost
+}
+
+// holdTerm reports whether a majority holds an entry of term.
+func (v *View) holdTerm(term uint64) bool {
 	n := 0
 	for _, s := range v.servers {
-		if s.heard && s.status.PromisedTerm > term {
+		if s.heard && s.status.Held.Term == term {
 			n++
 		}
 	}
--- a/internal/session/position.go
+++ b/internal/session/position.go
@@ -46,3 +46,28 @@
 	}
 	return Position{Term: t, Offset: o}, nil
 }
+
+// FormatPositions returns positions as a list separated by commas.
+func FormatPositions(positions []Position) string {
+	texts := make([]string, len(positions))
+	for i, p := range positions {
+		texts[i] = p.String()
+	}
+	return strings.Join(texts, ",")
+}
+
+// ParsePositions parses a list of positions separated by commas. An empty text is an empty list.
+func ParsePositions(text string) ([]Position, error) {
+	if text == "" {
+		return nil, nil
+	}
+	var positions []Position
+	for _, part := range strings.Split(text, ",") {
+		p, err := ParsePosition(part)
+		if err != nil {
+			return nil, err
+		}
+		positions = append(positions, p)
+	}
+	return positions, nil
+}
--- a/internal/target/control.go
+++ b/internal/target/control.go
@@ -21,6 +21,7 @@
 	columnApplied  = "applied"
 	columnActive   = "active"
 	columnPrimary  = "primary"
+	columnTerms    = "terms"
 	columnGranted  = "granted"
 )
 
@@ -135,6 +136,8 @@
 		a.Status.Applied, err = session.ParsePosition(value)
 	case columnActive:
 		a.Status.Active, err = strconv.Atoi(value)
+	case columnTerms:
+		a.Status.Terms, err = session.ParsePositions(value)
 	case columnPrimary:
 		a.Status.Primary = value
 	case columnGranted:
--- a/internal/target/group.go
+++ b/internal/target/group.go
@@ -212,7 +212,8 @@
 	return floor, term, nil
 }
 
-// Confirm waits until a majority holds the write at p.
+// Confirm waits until a majority holds the write at p. When the primary is replaced meanwhile, the log of
+// the new one tells whether the write survived; if not, the error has the verdict NotRun.
 func (g *Group) Confirm(ctx context.Context, p session.Position) error {
 	g.mu.Lock()
 	if p.Compare(g.wantPosition) > 0 {
@@ -220,21 +221,22 @@
 	}
 	g.mu.Unlock()
 	g.kick()
-	superseded := false
+	outcome := routing.Unknown
 	err := g.await(ctx, func() bool {
 		if g.view.Confirmed(p) {
-			return true
+			outcome = routing.Survived
+		} else {
+			outcome = g.view.Resolve(p)
 		}
-		superseded = g.view.Superseded(p.Term)
-		return superseded
+		return outcome != routing.Unknown
 	})
 	switch {
 	case err != nil:
 		return verdict.Errorf(verdict.MayHaveRun, verdict.StateUnknownResolution,
 			"a majority of group %s did not confirm the write at %v in time: %w", g.Name(), p, err)
-	case superseded:
-		return verdict.Errorf(verdict.MayHaveRun, verdict.StateUnknownResolution,
-			"the primary of group %s changed before a majority confirmed the write at %v", g.Name(), p)
+	case outcome == routing.Lost:
+		return verdict.Errorf(verdict.NotRun, verdict.StateReadOnly,
+			"the primary of group %s was replaced and the write at %v is not part of the new primary's log", g.Name(), p)
 	}
 	return nil
 }
