--- a/internal/catalog/codec.go
+++ b/internal/catalog/codec.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"time"
 )
 
 // Key is an entry of the object "keys". It holds a hash, so that the object does not disclose keys.
@@ -23,35 +22,6 @@
 // Keys is the value of the object "keys".
 type Keys []Key
 
-// State is the state of a failure domain or of a target.
-type State string
-
-// States of failure domains (in service, withdrawn) and targets (in service, leaving). A name that
-// is absent from its object is in service.
-const (
-	InService State = "in_service"
-	Withdrawn State = "withdrawn"
-	Leaving   State = "leaving"
-)
-
-// Domain is the state of a failure domain.
-type Domain struct {
-	State State     `json:"state"`
-	By    string    `json:"by"` // operator
-	At    time.Time `json:"at"`
-}
-
-// Domains is the value of the object "domains", by failure domain.
-type Domains map[string]Domain
-
-// Target is the state of a server.
-type Target struct {
-	State State `json:"state"`
-}
-
-// Targets is the value of the object "targets", by server.
-type Targets map[string]Target
-
 // Owner is one start of a VM.
 type Owner struct {
 	VM          string `json:"vm"`
@@ -101,28 +71,12 @@
 // DecodeKeys returns the value of the object "keys". An empty value has no entries.
 func DecodeKeys(value []byte) (Keys, error) { return decode[Keys](NameKeys, value) }
 
-// DecodeDomains returns the value of the object "domains". An empty value has no entries.
-func DecodeDomains(value []byte) (Domains, error) {
-	return decodeMap[Domains](NameDomains, value)
-}
-
-// DecodeTargets returns the value of the object "targets". An empty value has no entries.
-func DecodeTargets(value []byte) (Targets, error) {
-	return decodeMap[Targets](NameTargets, value)
-}
-
 // DecodeOwners returns the value of an object "owners/DOMAIN". An empty value has no entries.
 func DecodeOwners(value []byte) (Owners, error) { return decode[Owners]("owners", value) }
 
 // Encode returns the value of the object, or an error if an entry is invalid.
 func (ks Keys) Encode() ([]byte, error) { return encode(NameKeys, ks) }
 
-// Encode returns the value of the object, or an error if an entry is invalid.
-func (ds Domains) Encode() ([]byte, error) { return encode(NameDomains, ds) }
-
-// Encode returns the value of the object, or an error if an entry is invalid.
-func (ts Targets) Encode() ([]byte, error) { return encode(NameTargets, ts) }
-
 // Encode returns the value of the object, or an error if an entry is invalid.
 func (os Owners) Encode() ([]byte, error) { return encode("owners", os) }
 
@@ -149,24 +103,6 @@
 	return nil
 }
 
-func (ds Domains) check() error {
-	for name, d := range ds {
-		if d.State != InService && d.State != Withdrawn {
-			return fmt.Errorf("failure domain %q: state %q is neither %q nor %q", name, d.State, InService, Withdrawn)
-		}
-	}
-	return nil
-}
-
-func (ts Targets) check() error {
-	for name, t := range ts {
-		if t.State != InService && t.State != Leaving {
-			return fmt.Errorf("target %q: state %q is neither %q nor %q", name, t.State, InService, Leaving)
-		}
-	}
-	return nil
-}
-
 func (os Owners) check() error {
 	for i, o := range os {
 		if (o.VM == "") != (o.Incarnation == "") {
@@ -183,18 +119,6 @@
 	return json.Marshal(v)
 }
 
-// decodeMap is decode with a map that entries can be added to.
-func decodeMap[M interface {
-	~map[string]E
-	checker
-}, E any](what string, value []byte) (M, error) {
-	m, err := decode[M](what, value)
-	if m == nil && err == nil {
-		m = M{}
-	}
-	return m, err
-}
-
 // decode returns the checked value. Unknown fields and text after the value are errors.
 func decode[T checker](what string, value []byte) (T, error) {
 	var v T
--- a/internal/catalog/codec_test.go
+++ b/internal/catalog/codec_test.go
@@ -3,7 +3,6 @@
 import (
 	"strings"
 	"testing"
-	"time"
 
 	"github.com/matryer/is"
 )
@@ -19,20 +18,6 @@
 	is.NoErr(err)
 	is.Equal(gotKeys, keys)
 
-	domains := Domains{"bne": {State: Withdrawn, By: "op", At: time.Unix(1, 0).UTC()}}
-	value, err = domains.Encode()
-	is.NoErr(err)
-	gotDomains, err := DecodeDomains(value)
-	is.NoErr(err)
-	is.Equal(gotDomains, domains)
-
-	targets := Targets{"s1": {State: Leaving}}
-	value, err = targets.Encode()
-	is.NoErr(err)
-	gotTargets, err := DecodeTargets(value)
-	is.NoErr(err)
-	is.Equal(gotTargets, targets)
-
 	owners := Owners{{VM: "vm1", Incarnation: "i1"}, {VM: "vm1", Incarnation: "i1"}, {}}
 	value, err = owners.Encode()
 	is.NoErr(err)
@@ -41,20 +26,15 @@
 	is.Equal(gotOwners, owners)
 }
 
-// Guards against an object that does not exist yet being an error, or giving a map without room.
+// Guards against an object that does not exist yet being an error.
 func TestDecodeEmpty(t *testing.T) {
 	is := is.New(t)
 	keys, err := DecodeKeys(nil)
 	is.NoErr(err)
 	is.Equal(len(keys), 0)
-	for _, value := range []string{"", "null", "{}"} {
-		domains, err := DecodeDomains([]byte(value))
-		is.NoErr(err)
-		domains["bne"] = Domain{State: InService}
-	}
 }
 
-// Guards against misspelt or invalid entries that would silently leave a key or a target in service.
+// Guards against misspelt or invalid entries that would silently leave a key valid.
 func TestDecodeRefuses(t *testing.T) {
 	is := is.New(t)
 	hash := strings.Repeat("0", 64)
@@ -70,13 +50,7 @@
 		_, err := DecodeKeys([]byte(value))
 		is.True(err != nil) // value is not refused
 	}
-	_, err := DecodeDomains([]byte(`{"bne":{"state":"leaving","by":"","at":"2024-01-01T00:00:00Z"}}`))
-	is.True(err != nil)
-	_, err = DecodeTargets([]byte(`{"s1":{"state":"withdrawn"}}`))
-	is.True(err != nil)
-	_, err = DecodeTargets([]byte(`{"s1":{}}`))
-	is.True(err != nil)
-	_, err = DecodeOwners([]byte(`[{"vm":"a","incarnation":"1"},{"incarnation":"2"}]`))
+	_, err := DecodeOwners([]byte(`[{"vm":"a","incarnation":"1"},{"incarnation":"2"}]`))
 	is.True(err != nil)
 	_, err = Owners{{VM: "a"}}.Encode()
 	is.True(err != nil)
