--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -132,15 +132,15 @@
 	if x.position.Compare(x.c.floor) > 0 {
 		x.c.floor = x.position
 	}
-	x.insertToken()
+	x.c.insertToken(x.status)
 	return nil
 }
 
 // insertToken reports the session's new position ahead of the final ReadyForQuery.
-func (x *relay) insertToken() {
-	x.c.out = x.c.out[:len(x.c.out)-readySize]
-	x.c.send(&pgproto3.ParameterStatus{Name: paramSession, Value: x.c.sessionToken()})
-	x.c.ready(x.status)
+func (c *callerSession) insertToken(status byte) {
+	c.out = c.out[:len(c.out)-readySize]
+	c.send(&pgproto3.ParameterStatus{Name: paramSession, Value: c.sessionToken()})
+	c.ready(status)
 }
 
 // readySize is the length of an encoded ReadyForQuery message in bytes.
--- a/internal/proxy/record.go
+++ b/internal/proxy/record.go
@@ -73,7 +73,14 @@
 
 // answerBegin reports the transaction that beginRecorded opened.
 func (c *callerSession) answerBegin(r *request) error {
-	for _, it := range r.batch.items {
+	c.openStatus = 'T'
+	c.answerTag(r.batch, "BEGIN", 'T')
+	return c.flush()
+}
+
+// answerTag answers a batch as a target does that completes its statement with tag and no rows.
+func (c *callerSession) answerTag(b *batch, tag string, status byte) {
+	for _, it := range b.items {
 		switch it.kind {
 		case kindParse:
 			c.send(&pgproto3.ParseComplete{})
@@ -84,17 +91,13 @@
 				c.send(&pgproto3.ParameterDescription{})
 			}
 			c.send(&pgproto3.NoData{})
-		case kindExecute:
-			c.send(&pgproto3.CommandComplete{CommandTag: []byte("BEGIN")})
-		case kindQuery:
-			c.send(&pgproto3.CommandComplete{CommandTag: []byte("BEGIN")})
-			c.ready('T')
-		case kindSync:
-			c.ready('T')
+		case kindExecute, kindQuery:
+			c.send(&pgproto3.CommandComplete{CommandTag: []byte(tag)})
+		}
+		if it.kind == kindQuery || it.kind == kindSync {
+			c.ready(status)
 		}
 	}
-	c.openStatus = 'T'
-	return c.flush()
 }
 
 // replay answers a repeated request with its first outcome, once a majority holds it.
@@ -117,32 +120,11 @@
 			"a transaction with this request id has already committed at %v", first.position)
 		return c.refuseBatch(r.batch, e)
 	}
-	c.answerReplay(r, first)
+	c.answerTag(r.batch, first.tag, 'I')
+	c.insertToken('I')
 	return c.flush()
 }
 
-func (c *callerSession) answerReplay(r *request, first outcome) {
-	for _, it := range r.batch.items {
-		switch it.kind {
-		case kindParse:
-			c.send(&pgproto3.ParseComplete{})
-		case kindBind:
-			c.send(&pgproto3.BindComplete{})
-		case kindDescribe:
-			if it.stmt != nil {
-				c.send(&pgproto3.ParameterDescription{})
-			}
-			c.send(&pgproto3.NoData{})
-		case kindExecute, kindQuery:
-			c.send(&pgproto3.CommandComplete{CommandTag: []byte(first.tag)})
-		}
-		if it.kind == kindQuery || it.kind == kindSync {
-			c.send(&pgproto3.ParameterStatus{Name: paramSession, Value: c.sessionToken()})
-			c.ready('I')
-		}
-	}
-}
-
 // confirmFirst waits until a majority is known to hold the first outcome. A position of an earlier term
 // is confirmed by any majority whose floor reaches it under the current primary.
 func (c *callerSession) confirmFirst(ctx context.Context, r *request, first outcome) error {
