--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -136,8 +136,12 @@
 	return nil
 }
 
-// insertToken reports the session's new position ahead of the final ReadyForQuery.
+// insertToken reports the session's new position ahead of the final ReadyForQuery, if the output ends with
+// one: a caller that asked for a flush only gets it later.
 func (c *callerSession) insertToken(status byte) {
+	if n := len(c.out); n < readySize || c.out[n-readySize] != 'Z' {
+		return
+	}
 	c.out = c.out[:len(c.out)-readySize]
 	c.send(&pgproto3.ParameterStatus{Name: paramSession, Value: c.sessionToken()})
 	c.ready(status)
