--- a/internal/grant/fault_test.go
+++ b/internal/grant/fault_test.go
@@ -234,6 +234,9 @@
 					before = f.tenant.admitted
 				}
 			}
+			for _, m := range f.managers {
+				is.True(len(m.spaces["w0"].lenders) < faultVMs) // restarted VMs are forgotten
+			}
 			is.Equal(f.tenant.over, 0)
 			used := float64(f.tenant.admitted-before) / (faultRate * (faultLength - faultSettle).Seconds())
 			t.Logf("%d admitted during and %d after the faults, %.1f%% of the rate after them", before, f.tenant.admitted-before, 100*used)
--- a/internal/grant/manager.go
+++ b/internal/grant/manager.go
@@ -283,6 +283,9 @@
 		next[p.VM] = known
 	}
 	m.peers = next
+	for _, s := range m.spaces {
+		maps.DeleteFunc(s.lenders, func(vm VM, _ *lender) bool { return next[vm] == nil })
+	}
 }
 
 // Admit decides on n new requests of a workspace. If they are not admitted, wait is the time after
