bench: measure scenarios under open-loop load with exact counting

bench run drives a whole deployment with Poisson arrivals, roaming callers and unique keys, and checks the logs of the targets after the run. The daemon takes an Experiment that switches single policies for comparison.

--- /dev/null
+++ b/internal/bench/load.go
@@ -0,0 +1,223 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"siskinrouter/internal/devfleet"
+	"siskinrouter/internal/promotion"
+	"siskinrouter/internal/session"
+)
+
+const (
+	writeShare     = 0.2  // of the requests
+	remembered     = 256  // acknowledged writes of a workspace that reads choose from
+	maxArrivals    = 8192 // requests that wait for a free caller
+	smallCallers   = 12   // callers that write in a workspace; twice as many read
+	requestsEach   = 12.5 // requests per second for which one more writing caller is added
+	greedyInFlight = 0.15 // seconds that a refused request occupies a caller, which includes its wait for tokens
+)
+
+// load drives the callers of all workspaces.
+type load struct {
+	ctx      context.Context
+	fleet    *devfleet.Fleet
+	start    time.Time
+	recorder *recorder
+	sealer   *session.Sealer
+	spaces   []*workspaceLoad
+	wg       sync.WaitGroup
+}
+
+// workspaceLoad is the demand of one workspace.
+type workspaceLoad struct {
+	index  int
+	name   string
+	group  int
+	rate   float64 // requests per second that arrive
+	writes chan time.Duration
+	reads  chan time.Duration
+	prefix string
+
+	mu     sync.Mutex
+	key    string // secret
+	next   int
+	recent []string // acknowledged writes, newest last
+}
+
+func (w *workspaceLoad) secret() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.key
+}
+
+func (w *workspaceLoad) setSecret(key string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.key = key
+}
+
+func (w *workspaceLoad) nextKey() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.next++
+	return fmt.Sprintf("%s-%d", w.prefix, w.next)
+}
+
+func (w *workspaceLoad) remember(key string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.recent = append(w.recent, key)
+	if len(w.recent) > remembered {
+		w.recent = w.recent[1:]
+	}
+}
+
+// recall returns the newest write in half of the calls, otherwise any of the remembered ones.
+func (w *workspaceLoad) recall(r *rand.Rand) string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := len(w.recent)
+	switch {
+	case n == 0:
+		return ""
+	case r.IntN(2) == 0:
+		return w.recent[n-1]
+	}
+	return w.recent[r.IntN(n)]
+}
+
+// newLoad prepares callers. factors holds the demand of each workspace relative to its rate.
+func newLoad(ctx context.Context, f *devfleet.Fleet, rec *recorder, factors []float64) *load {
+	l := &load{
+		ctx: ctx, fleet: f, recorder: rec,
+		sealer: session.NewSealer([]byte(f.FleetKey())),
+	}
+	for i, w := range f.Deployment.Workspaces {
+		l.spaces = append(l.spaces, &workspaceLoad{
+			index: i, name: w.Name, group: f.Deployment.GroupOf(i), rate: w.Rate * factors[i],
+			key: f.Keys[w.Name], prefix: w.Name,
+			writes: make(chan time.Duration, maxArrivals), reads: make(chan time.Duration, maxArrivals),
+		})
+	}
+	return l
+}
+
+func (l *load) now() time.Duration { return time.Since(l.start) }
+
+// carriesTokens reports whether a session carries tokens: those of the first group do, those of the
+// second do not, and in the other groups every second one does. Targets count their reads, so this
+// tells both kinds apart.
+func carriesTokens(group, session int) bool {
+	switch group {
+	case 0:
+		return true
+	case 1:
+		return false
+	}
+	return session%2 == 0
+}
+
+// run generates load until the given time and waits for the answers.
+func (l *load) run(until time.Duration, seed uint64) {
+	for _, w := range l.spaces {
+		writers := smallCallers + int(w.rate*writeShare/requestsEach)
+		readers := 2*smallCallers + int(w.rate*(1-writeShare)/requestsEach)
+		if entitled := l.fleet.Deployment.Workspaces[w.index].Rate; w.rate > entitled {
+			writers += int((w.rate - entitled) * greedyInFlight * writeShare)
+			readers += int((w.rate - entitled) * greedyInFlight * (1 - writeShare))
+		}
+		l.startCallers(w, writers, readers, seed)
+		l.wg.Go(func() { l.arrive(w, until, rand.New(rand.NewPCG(seed, uint64(w.index)))) })
+	}
+	l.wg.Wait()
+}
+
+func (l *load) startCallers(w *workspaceLoad, writers, readers int, seed uint64) {
+	sessions := make([]*customer, writers)
+	for i := range sessions {
+		sessions[i] = &customer{tokens: carriesTokens(w.group, i)}
+	}
+	add := func(i int, s *customer, route string, arrivals <-chan time.Duration) {
+		c := &caller{
+			load: l, space: w, session: s, route: route,
+			random: rand.New(rand.NewPCG(seed, uint64(1000*(w.index+1)+i))),
+		}
+		l.wg.Go(func() { c.run(arrivals) })
+	}
+	for i, s := range sessions {
+		add(i, s, devfleet.RouteWrite, w.writes)
+	}
+	for i := range readers {
+		add(writers+i, sessions[i%writers], devfleet.RouteLookup, w.reads)
+	}
+}
+
+// arrive creates requests at the times of a Poisson process, whether or not earlier ones are answered.
+func (l *load) arrive(w *workspaceLoad, until time.Duration, r *rand.Rand) {
+	defer close(w.writes)
+	defer close(w.reads)
+	var due time.Duration
+	for {
+		due += time.Duration(r.ExpFloat64() / w.rate * float64(time.Second))
+		write := r.Float64() < writeShare
+		if due >= until {
+			return
+		}
+		pause(l.ctx, due-l.now())
+		if l.ctx.Err() != nil {
+			return
+		}
+		queue := w.reads
+		if write {
+			queue = w.writes
+		}
+		select {
+		case queue <- due:
+		default:
+			l.recorder.add(sample{workspace: w.index, write: write, due: due, sent: due, done: l.now(), outcome: notRun, state: stateOverload})
+		}
+	}
+}
+
+// stateOverload marks a request that found no free caller and was not sent.
+const stateOverload = "no caller"
+
+// pick returns a random VM that serves.
+func (l *load) pick(r *rand.Rand) *devfleet.VM {
+	var serving []*devfleet.VM
+	for _, vm := range l.fleet.VMs() {
+		if vm != nil && vm.Serving() {
+			serving = append(serving, vm)
+		}
+	}
+	if len(serving) == 0 {
+		return nil
+	}
+	return serving[r.IntN(len(serving))]
+}
+
+// heldByMajority reports whether a majority of a group holds the position in a session token.
+func (l *load) heldByMajority(group int, token string) bool {
+	t, err := l.sealer.Open(token)
+	if err != nil {
+		return false
+	}
+	servers := l.fleet.Groups[group].Servers()
+	n := 0
+	for _, s := range servers {
+		if holds(s.Status(), t.Position) {
+			n++
+		}
+	}
+	return 2*n > len(servers)
+}
+
+// holds reports whether the log of a server contains p. A log with entries of a later term contains
+// every acknowledged entry of earlier ones, which the check of the history verifies at the end.
+func holds(st promotion.Status, p session.Position) bool {
+	return st.Held.Term > p.Term || st.Held.Term == p.Term && st.Held.Offset >= p.Offset
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -62,6 +62,7 @@
 			e.statusCommand(),
 			e.explainCommand(),
 			e.devCommand(),
+			e.benchCommand(),
 			e.versionCommand(),
 			e.checkCommand(),
 		},
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -53,23 +53,26 @@
 	// Register is called regularly with the VM's entry for the list of the platform stand-in.
 	// A real platform knows its VMs; then it is nil.
 	Register func(context.Context, platform.VM) error
+	// Experiment replaces policies for measurements.
+	Experiment Experiment
 }
 
 // Daemon is one entry VM.
 type Daemon struct {
-	settings *settings.Settings
-	store    platform.Store
-	log      *log.Logger
-	register func(context.Context, platform.VM) error
-	dial     func(ctx context.Context, network, address string) (net.Conn, error)
-	callerLn net.Listener
-	fleetLn  net.Listener
-	start    time.Time
-	seed     int64
-	self     machine.VM
-	ctx      context.Context
-	cancel   context.CancelFunc
-	duties   sync.WaitGroup
+	settings   *settings.Settings
+	store      platform.Store
+	log        *log.Logger
+	register   func(context.Context, platform.VM) error
+	dial       func(ctx context.Context, network, address string) (net.Conn, error)
+	callerLn   net.Listener
+	fleetLn    net.Listener
+	start      time.Time
+	seed       int64
+	experiment Experiment
+	self       machine.VM
+	ctx        context.Context
+	cancel     context.CancelFunc
+	duties     sync.WaitGroup
 
 	config       *config
 	members      *members
@@ -99,7 +102,7 @@
 	d := &Daemon{
 		settings: o.Settings, store: o.Store, log: o.Log, register: o.Register,
 		dial: o.Dial, callerLn: o.CallerListener, fleetLn: o.FleetListener,
-		start: time.Now(), seed: time.Now().UnixNano(),
+		start: time.Now(), seed: time.Now().UnixNano(), experiment: o.Experiment,
 		registry: metrics.NewRegistry(), retries: retry.NewBudget(retry.DefaultBurst),
 		explanations: audit.NewExplanations(explanationCount),
 	}
--- /dev/null
+++ b/internal/daemon/experiment.go
@@ -0,0 +1,44 @@
+package daemon
+
+import (
+	"time"
+
+	"siskinrouter/internal/contract"
+	"siskinrouter/internal/link"
+)
+
+// Experiment replaces single policies by simpler ones, so that measurements can compare them. The
+// zero value selects the policies of the design.
+type Experiment struct {
+	// PrimaryOnlyReads sends every read to the primary without asking a majority for the floor.
+	PrimaryOnlyReads bool
+	// FIFO orders the requests that wait for a server by arrival instead of fairly by workspace.
+	FIFO bool
+	// StaticSplit leaves every VM with the share that it owns: no loans are asked for.
+	StaticSplit bool
+	// OnAdmission is called for every decision of the rate limit. The decision was made between
+	// from and to. It is called on the path of requests and must not block.
+	OnAdmission func(workspace string, from, to time.Time, admitted bool)
+}
+
+// route returns the route as the experiment serves it.
+func (e Experiment) route(r contract.Route) contract.Route {
+	if e.PrimaryOnlyReads {
+		r.Read = false
+	}
+	return r
+}
+
+// queue returns the queue of one server.
+func (d *Daemon) queue(s contract.Server) link.Queue {
+	if d.experiment.FIFO {
+		return link.NewFIFO(maxWaiting)
+	}
+	return d.newQueue(s)
+}
+
+func (e Experiment) admission(workspace string, from time.Time, admitted bool) {
+	if e.OnAdmission != nil {
+		e.OnAdmission(workspace, from, time.Now(), admitted)
+	}
+}
--- a/internal/daemon/groups.go
+++ b/internal/daemon/groups.go
@@ -127,7 +127,7 @@
 		AnswerTimeout:  d.settings.Timings.Suspicion,
 		ConnectTimeout: connectTimeout,
 		Links:          d.linkBudget,
-		Queue:          d.newQueue,
+		Queue:          d.queue,
 		Clock:          d.now,
 		OnStatus:       g.onStatus,
 		OnFail:         g.onFail,
--- a/internal/daemon/policy.go
+++ b/internal/daemon/policy.go
@@ -43,7 +43,9 @@
 	if err := p.d.admitsCallers(s); err != nil {
 		return nil, err
 	}
-	a := &proxy.Access{Database: database, Service: service.Name, Route: route, Generation: s.generation}
+	a := &proxy.Access{
+		Database: database, Service: service.Name, Route: p.d.experiment.route(route), Generation: s.generation,
+	}
 	if route.Open != "" {
 		workspace = route.Open
 	} else {
@@ -100,7 +102,10 @@
 	if err := checkKey(s.keys, a, route); err != nil {
 		return nil, err
 	}
-	next := &proxy.Access{Database: a.Database, KeyID: a.KeyID, Service: service.Name, Route: route, Generation: s.generation}
+	next := &proxy.Access{
+		Database: a.Database, KeyID: a.KeyID, Service: service.Name, Route: p.d.experiment.route(route),
+		Generation: s.generation,
+	}
 	return p.complete(s, next, a.Workspace.Name)
 }
 
--- a/internal/daemon/rates.go
+++ b/internal/daemon/rates.go
@@ -82,8 +82,10 @@
 
 // admit charges one request, waiting a short time for tokens.
 func (r *rates) admit(ctx context.Context, w contract.Workspace) error {
+	from := time.Now()
 	ok, wait, known := r.try(w.Name, true)
 	if ok {
+		r.d.experiment.admission(w.Name, from, true)
 		return nil
 	}
 	if !known {
@@ -94,10 +96,13 @@
 	defer cancel()
 	for ctx.Err() == nil {
 		sleep(ctx, min(max(wait, time.Millisecond), admitPause))
+		attempt := time.Now()
 		if ok, wait, _ = r.try(w.Name, false); ok {
+			r.d.experiment.admission(w.Name, attempt, true)
 			return nil
 		}
 	}
+	r.d.experiment.admission(w.Name, from, false)
 	return verdict.Errorf(verdict.NotRun, verdict.StateRateExceeded,
 		"workspace %q exceeds its rate of %g requests per second with burst %g; try again later", w.Name, w.Rate, w.Burst)
 }
@@ -151,6 +156,9 @@
 }
 
 func (r *rates) poll(ctx context.Context) {
+	if r.d.experiment.StaticSplit {
+		return
+	}
 	r.mu.Lock()
 	requests := r.manager.Poll(r.d.now())
 	r.mu.Unlock()
--- a/internal/devfleet/deployment.go
+++ b/internal/devfleet/deployment.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"strings"
 	"time"
+
+	"siskinrouter/internal/daemon"
 )
 
 // Deployment describes the systems that a fleet serves.
@@ -21,9 +23,10 @@
 	OneWay           time.Duration // latency between failure domains
 	VMs              int           // entry VMs, spread over the failure domains
 	Workspaces       []Workspace
-	ServiceTime      time.Duration // time that a statement occupies a slot
-	Lag              time.Duration // of what reads on replicas see
-	StatementTimeout time.Duration // of every route; 0 for 10 s
+	ServiceTime      time.Duration     // time that a statement occupies a slot
+	Lag              time.Duration     // of what reads on replicas see
+	StatementTimeout time.Duration     // of every route; 0 for 10 s
+	Experiment       daemon.Experiment // policies of all VMs that differ from the design
 }
 
 // Workspace is a customer of a deployment.
--- a/internal/devfleet/fleet.go
+++ b/internal/devfleet/fleet.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -60,9 +61,20 @@
 	Address string // for callers
 	Admin   string // for operators' tools
 
-	drain context.CancelFunc
-	done  chan struct{}
-	err   error
+	drain   context.CancelFunc
+	leaving atomic.Bool
+	done    chan struct{}
+	err     error
+}
+
+// Serving reports whether a load balancer would send new callers to the VM: it runs and is not draining.
+func (v *VM) Serving() bool {
+	select {
+	case <-v.done:
+		return false
+	default:
+		return !v.leaving.Load()
+	}
 }
 
 // Start starts a deployment and waits until it serves. Output of the daemons goes to logTo, nil for none.
@@ -174,6 +186,7 @@
 	d, err := daemon.New(daemon.Options{
 		Settings: s, Store: store, Log: f.log.With("vm", name), Register: store.Register,
 		Dial: f.Network.Dialer(domain), CallerListener: callerLn, FleetListener: fleetLn,
+		Experiment: f.Deployment.Experiment,
 	})
 	if err != nil {
 		return nil, err
@@ -233,6 +246,7 @@
 
 // Drain shuts a VM down gracefully and waits for its end.
 func (v *VM) Drain() error {
+	v.leaving.Store(true)
 	v.drain()
 	<-v.done
 	return v.err
@@ -250,6 +264,9 @@
 	return fmt.Sprintf("postgres://%s:%s@%s/%s?sslmode=disable", workspace, f.Keys[workspace], vm.Address, database)
 }
 
+// FleetKey returns the key that seals session tokens.
+func (f *Fleet) FleetKey() string { return fleetKey }
+
 // Close stops everything.
 func (f *Fleet) Close() {
 	f.cancel()
--- a/internal/devfleet/ready.go
+++ b/internal/devfleet/ready.go
@@ -63,3 +63,10 @@
 	_, err = reader.Exec(ctx, "GET ready")
 	return err
 }
+
+// ReadyVM waits until one VM serves a read and a write of every workspace.
+func (f *Fleet) ReadyVM(ctx context.Context, vm *VM) error {
+	ctx, cancel := context.WithTimeout(ctx, readyLimit)
+	defer cancel()
+	return f.awaitVM(ctx, vm)
+}
