--- a/internal/devtarget/admin.go
+++ b/internal/devtarget/admin.go
@@ -17,6 +17,7 @@
 //	POST /kill                       also /shutdown and /restart
 //	POST /freeze?on=BOOL             also /isolate-peers and /refuse-logins
 //	POST /isolate-client?name=NAME&on=BOOL
+//	POST /forbid?secret=TEXT         counts the secret as leaked if it arrives on a connection
 //	POST /lag?d=DURATION             also /answer-delay, /service-time and /replication-delay
 func (s *Server) startAdmin(address string) error {
 	ln, err := net.Listen("tcp", address)
@@ -58,6 +59,14 @@
 	mux.HandleFunc("POST /isolate-client", withSwitch(func(r *http.Request, on bool) {
 		s.IsolateClient(r.FormValue("name"), on)
 	}))
+	mux.HandleFunc("POST /forbid", func(w http.ResponseWriter, r *http.Request) {
+		secret := r.FormValue("secret")
+		if secret == "" {
+			http.Error(w, "parameter secret is empty", http.StatusBadRequest)
+			return
+		}
+		s.Forbid(secret)
+	})
 	for path, set := range map[string]func(time.Duration){
 		"/lag": s.SetLag, "/answer-delay": s.SetAnswerDelay, "/service-time": s.SetServiceTime,
 		"/replication-delay": s.SetReplicationDelay,
