--- a/internal/daemon/owners.go
+++ b/internal/daemon/owners.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"strconv"
 	"time"
 
 	"siskinrouter/internal/audit"
 	"siskinrouter/internal/catalog"
+	"siskinrouter/internal/contract"
 	"siskinrouter/internal/grant"
 	"siskinrouter/internal/machine"
 )
@@ -18,7 +20,7 @@
 )
 
 // decodeOwners returns the owners of a failure domain's part, which is the same for all domains.
-func decodeOwners(o catalog.Object, domains int) (grant.Owners, error) {
+func decodeOwners(o catalog.Object, c *contract.Contract) (grant.Owners, error) {
 	list, err := catalog.DecodeOwners(o.Value)
 	if err != nil {
 		return grant.Owners{}, err
@@ -26,35 +28,48 @@
 	owners := grant.Owners{
 		Domain:  o.Name[len(catalog.PrefixOwners):],
 		Version: o.Version,
-		Part:    grant.Whole / grant.Share(max(domains, 1)),
+		Part:    grant.Whole / grant.Share(len(c.Domains)),
 	}
 	for _, e := range list {
-		n, err := strconv.ParseUint(e.Incarnation, 10, 64)
+		v, err := slotHolder(e)
 		if err != nil {
-			return grant.Owners{}, fmt.Errorf("object %s: incarnation %q of VM %s: %w", o.Name, e.Incarnation, e.VM, err)
+			return grant.Owners{}, fmt.Errorf("object %s: %w", o.Name, err)
 		}
-		owners.Slots = append(owners.Slots, grant.VM{Name: e.VM, Incarnation: n})
+		owners.Slots = append(owners.Slots, v)
 	}
 	return owners, nil
 }
 
+// slotHolder returns the run of a VM that holds a slot, or the zero VM for a slot without a holder.
+func slotHolder(e catalog.Owner) (grant.VM, error) {
+	if e.VM == "" {
+		return grant.VM{}, nil
+	}
+	n, err := strconv.ParseUint(e.Incarnation, 10, 64)
+	if err != nil {
+		return grant.VM{}, fmt.Errorf("incarnation %q of VM %s: %w", e.Incarnation, e.VM, err)
+	}
+	return grant.VM{Name: e.VM, Incarnation: n}, nil
+}
+
 func encodeOwners(o grant.Owners) ([]byte, error) {
 	list := make(catalog.Owners, len(o.Slots))
 	for i, v := range o.Slots {
-		list[i] = catalog.Owner{VM: v.Name, Incarnation: strconv.FormatUint(v.Incarnation, 10)}
+		if v.Name != "" {
+			list[i] = catalog.Owner{VM: v.Name, Incarnation: strconv.FormatUint(v.Incarnation, 10)}
+		}
 	}
 	return list.Encode()
 }
 
-// runOwners keeps the owners of the VM's failure domain up to date until ctx ends. Only the VMs that
-// hold the domain's watches do so, and a conditional update decides between them.
+// runOwners keeps the owners of the VM's failure domain up to date until ctx ends. Owners that are gone are
+// replaced by the VMs that hold the domain's watches, and a conditional update decides between them;
+// slots in use are passed on by their holder only.
 func (d *Daemon) runOwners(ctx context.Context) error {
 	for ctx.Err() == nil {
-		if d.holdsWatch() {
-			if err := d.maintainOwners(ctx); err != nil {
-				d.counters.platformFailures.Inc(1)
-				d.log.Debug("owners not updated", "err", err)
-			}
+		if err := d.maintainOwners(ctx, d.holdsWatch()); err != nil {
+			d.counters.platformFailures.Inc(1)
+			d.log.Debug("owners not updated", "err", err)
 		}
 		sleep(ctx, ownersEvery)
 	}
@@ -72,20 +87,50 @@
 	return false
 }
 
-func (d *Daemon) maintainOwners(ctx context.Context) error {
+// maintainOwners replaces owners that are gone, in the VM's own failure domain and in domains of
+// which no VM is left. Without the latter the part of a lost domain would be refused to callers.
+func (d *Daemon) maintainOwners(ctx context.Context, replace bool) error {
 	ctx, cancel := context.WithTimeout(ctx, ownersTimeout)
 	defer cancel()
-	name := catalog.PrefixOwners + d.settings.VM.Domain
-	domains := len(d.config.snapshot().contract.Domains)
-	candidates := d.ownerCandidates()
-	if domains == 0 || len(candidates) == 0 {
+	c := d.config.snapshot().contract
+	live := d.liveByDomain()
+	var errs []error
+	for _, domain := range c.Domains {
+		if domain != d.settings.VM.Domain && len(live[domain]) > 0 {
+			errs = append(errs, d.returnSlots(ctx, c, domain, live[domain]))
+			continue
+		}
+		if replace {
+			errs = append(errs, d.maintainDomain(ctx, c, domain, live[d.settings.VM.Domain]))
+		}
+		if domain == d.settings.VM.Domain {
+			errs = append(errs, d.rebalance(ctx, c, live[domain]))
+		}
+	}
+	return errors.Join(errs...)
+}
+
+// returnSlots hands slots that this VM took over back to the VMs of a failure domain that is alive again.
+func (d *Daemon) returnSlots(ctx context.Context, c *contract.Contract, domain string, candidates []grant.VM) error {
+	self := runOf(d.self)
+	return d.passOn(ctx, c, domain, func(o grant.Owners) (grant.Owners, bool) {
+		return o.Replace(func(v grant.VM) bool { return v != self }, candidates)
+	})
+}
+
+func (d *Daemon) maintainDomain(ctx context.Context, c *contract.Contract, domain string, candidates []grant.VM) error {
+	if len(candidates) == 0 {
 		return nil
 	}
+	name := catalog.PrefixOwners + domain
 	current, known := d.config.get(name)
+	if !known && domain != d.settings.VM.Domain {
+		return nil
+	}
 	if !known {
-		return d.putOwners(ctx, name, 0, grant.InitialOwners(d.settings.VM.Domain, domains, candidates))
+		return d.putOwners(ctx, name, 0, grant.InitialOwners(domain, len(c.Domains), candidates))
 	}
-	owners, err := decodeOwners(current, domains)
+	owners, err := decodeOwners(current, c)
 	if err != nil {
 		return err
 	}
@@ -96,20 +141,50 @@
 	return d.putOwners(ctx, name, current.Version, next)
 }
 
+// rebalance passes on slots that this VM holds beyond its equal part of its failure domain.
+func (d *Daemon) rebalance(ctx context.Context, c *contract.Contract, candidates []grant.VM) error {
+	return d.passOn(ctx, c, d.settings.VM.Domain, func(o grant.Owners) (grant.Owners, bool) {
+		return o.Rebalance(runOf(d.self), candidates)
+	})
+}
+
+// passOn writes owners in which this VM holds fewer slots. The VM gives the slots up before the update:
+// it might be paused between the update and the moment at which it learns of it.
+func (d *Daemon) passOn(ctx context.Context, c *contract.Contract, domain string,
+	change func(grant.Owners) (grant.Owners, bool)) error {
+	name := catalog.PrefixOwners + domain
+	current, known := d.config.get(name)
+	if !known {
+		return nil
+	}
+	owners, err := decodeOwners(current, c)
+	if err != nil {
+		return err
+	}
+	next, changed := change(owners)
+	if !changed {
+		return nil
+	}
+	d.rates.giveUp(next)
+	return d.putOwners(ctx, name, current.Version, next)
+}
+
+// ownerLive reports whether a slot's holder may still use it.
 func (d *Daemon) ownerLive(v grant.VM) (live bool) {
+	if v == (grant.VM{}) {
+		return false
+	}
 	d.members.with(func(s *machine.Members) {
 		live = !s.Dropped(v.Name, strconv.FormatUint(v.Incarnation, 10))
 	})
 	return live
 }
 
-// ownerCandidates returns the live VMs of the failure domain.
-func (d *Daemon) ownerCandidates() []grant.VM {
-	var vms []grant.VM
+// liveByDomain returns the live VMs of each failure domain.
+func (d *Daemon) liveByDomain() map[string][]grant.VM {
+	vms := make(map[string][]grant.VM)
 	for _, v := range d.members.live() {
-		if v.Domain == d.settings.VM.Domain {
-			vms = append(vms, runOf(v))
-		}
+		vms[v.Domain] = append(vms[v.Domain], runOf(v))
 	}
 	return vms
 }
@@ -126,7 +201,7 @@
 	}
 	d.audit.Record(audit.Record{
 		Who: d.self.Name, What: "owners changed", Object: name, FromRevision: version, ToRevision: written,
-		Cause: "a VM that owned shares is gone, or the failure domain had no owners",
+		Cause: "VMs of the failure domain started, stopped or were lost",
 	})
 	return nil
 }
