--- a/internal/fleet/convert.go
+++ b/internal/fleet/convert.go
@@ -135,7 +135,7 @@
 func askToPB(a grant.Ask) *fleetpb.BorrowRequest_Ask {
 	return &fleetpb.BorrowRequest_Ask{
 		Workspace: a.Workspace, Seq: a.Seq, Loan: a.Loan, Keep: int64(a.Keep), MicroTokens: a.Tokens,
-		Want: int64(a.Want), Have: int64(a.Have), Need: int64(a.Need),
+		Want: int64(a.Want), Have: int64(a.Have), Need: int64(a.Need), Short: a.Short,
 	}
 }
 
@@ -143,7 +143,7 @@
 	return grant.Ask{
 		Workspace: a.GetWorkspace(), Seq: a.GetSeq(), Loan: a.GetLoan(), Keep: grant.Share(a.GetKeep()),
 		Tokens: a.GetMicroTokens(), Want: grant.Share(a.GetWant()), Have: grant.Share(a.GetHave()),
-		Need: grant.Share(a.GetNeed()),
+		Need: grant.Share(a.GetNeed()), Short: a.GetShort(),
 	}
 }
 
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -13,6 +13,7 @@
 	"math/big"
 	"net"
 	"net/http"
+	"reflect"
 	"testing"
 	"time"
 
@@ -158,7 +159,7 @@
 	is.Equal(h.pushed, []platform.Object{object})
 
 	want := grant.BorrowRequest{From: grant.VM{Name: "a", Incarnation: 7}, To: grant.VM{Name: "b", Incarnation: 3},
-		Asks:    []grant.Ask{{Workspace: "w", Seq: 4, Loan: 5, Keep: 6, Tokens: 7, Want: 8, Have: 9, Need: 10}},
+		Asks:    []grant.Ask{{Workspace: "w", Seq: 4, Loan: 5, Keep: 6, Tokens: 7, Want: 8, Have: 9, Need: 10, Short: true}},
 		Recalls: []string{"w"}}
 	loans, err := peer.Borrow(ctx, want)
 	is.NoErr(err)
@@ -415,3 +416,17 @@
 	return &tls.Config{Certificates: []tls.Certificate{{Certificate: [][]byte{der}, PrivateKey: key}}},
 		&tls.Config{RootCAs: pool}
 }
+
+// Guards against a field of an ask or grant that is added to the grant package and not carried.
+func TestBorrowCarriesEveryField(t *testing.T) {
+	is := is.New(t)
+	ask := grant.Ask{Workspace: "w", Seq: 1, Loan: 2, Keep: 3, Tokens: 4, Want: 5, Have: 6, Need: 7, Short: true}
+	g := grant.Grant{Workspace: "w", Seq: 1, Loan: 2, Amount: 3, Tokens: 4, Spare: 5}
+	for _, v := range []reflect.Value{reflect.ValueOf(ask), reflect.ValueOf(g)} {
+		for i := range v.NumField() {
+			is.True(!v.Field(i).IsZero()) // the sample must set every field
+		}
+	}
+	is.Equal(askFromPB(askToPB(ask)), ask)
+	is.Equal(grantFromPB(grantToPB(g)), g)
+}
