Send a recorded request in two round trips instead of five

Cause: a write with a request id waited for BEGIN, group_request, the statement, group_outcome and COMMIT one after the other, each a round trip of 3 ms between failure domains.

--- a/internal/daemon/rates.go
+++ b/internal/daemon/rates.go
@@ -206,6 +206,7 @@
 		return
 	}
 	r.manager.HandleReply(r.d.now(), reply)
+	r.poke()
 }
 
 // Borrow implements fleet.Handler.
@@ -214,6 +215,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	reply, ok := r.manager.HandleRequest(h.d.now(), req)
+	r.poke()
 	if !ok {
 		return reply, machine.ErrOldIncarnation
 	}
--- a/internal/link/simple.go
+++ b/internal/link/simple.go
@@ -44,12 +44,48 @@
 // Simple runs one statement with the simple query protocol and returns its first row. A
 // *TargetError leaves the link usable; any other failure breaks it.
 func (l *Link) Simple(statement string) (Result, error) {
-	if err := l.Send(&pgproto3.Query{String: statement}); err != nil {
+	results, err := l.Pipeline(statement)
+	if err != nil {
 		return Result{}, err
 	}
+	return results[0], nil
+}
+
+// Pipeline runs statements one after the other in one exchange. All are executed even if one fails; the
+// error is that of the first one that failed.
+func (l *Link) Pipeline(statements ...string) ([]Result, error) {
+	for _, s := range statements {
+		if err := l.QueueSimple(s); err != nil {
+			return nil, err
+		}
+	}
 	if err := l.Flush(); err != nil {
-		return Result{}, err
+		return nil, err
 	}
+	return l.ReceiveSimple(statements...)
+}
+
+// QueueSimple queues a statement until Flush. Its answer is read by ReceiveSimple.
+func (l *Link) QueueSimple(statement string) error { return l.Send(&pgproto3.Query{String: statement}) }
+
+// ReceiveSimple returns the answers to queued statements.
+func (l *Link) ReceiveSimple(statements ...string) ([]Result, error) {
+	results := make([]Result, len(statements))
+	var first error
+	for i, s := range statements {
+		res, err := l.receiveSimple(s)
+		if l.broken {
+			return nil, err
+		}
+		if first == nil {
+			first = err
+		}
+		results[i] = res
+	}
+	return results, first
+}
+
+func (l *Link) receiveSimple(statement string) (Result, error) {
 	var res Result
 	var failure error
 	for {
--- a/internal/proxy/record.go
+++ b/internal/proxy/record.go
@@ -37,11 +37,13 @@
 // runRecorded serves the first batch of a transaction that has a request id. The id is recorded in the
 // target in the same transaction as the effect, so that a repeat is answered with the first outcome.
 func (c *callerSession) runRecorded(ctx context.Context, r *request) error {
-	id := c.requestID
 	if deadline, ok := ctx.Deadline(); ok {
 		c.lease.SetDeadline(deadline)
 	}
-	first, err := c.beginRecorded(id)
+	if !isBegin(r.batch.text()) && r.batch.ends() {
+		return c.runSingle(ctx, r, c.requestID)
+	}
+	first, err := c.beginRecorded(c.requestID)
 	if err != nil {
 		c.dropLease()
 		return recordError(verdict.NotRun, err)
@@ -49,25 +51,35 @@
 	if first.done {
 		return c.replay(ctx, r, first)
 	}
-	if isBegin(r.batch.text()) {
-		c.recording = id
-		return c.answerBegin(r)
+	if !isBegin(r.batch.text()) {
+		c.dropLease()
+		return verdict.Errorf(verdict.NotRun, verdict.StateFeatureNotSupported,
+			"a request id needs the statement and its Sync message together, or an explicit transaction")
 	}
-	return c.runSingle(ctx, r, id)
+	c.recording = c.requestID
+	return c.answerBegin(r)
+}
+
+// recordStatements open a transaction and record the request id in it.
+func recordStatements(id string) []string {
+	return []string{"BEGIN", fmt.Sprintf("SELECT group_request('%s')", id)}
 }
 
 func (c *callerSession) beginRecorded(id string) (outcome, error) {
-	if _, err := c.lease.Simple("BEGIN"); err != nil {
-		return outcome{}, err
-	}
-	res, err := c.lease.Simple(fmt.Sprintf("SELECT group_request('%s')", id))
+	results, err := c.lease.Pipeline(recordStatements(id)...)
 	if err != nil {
 		return outcome{}, err
 	}
+	return newOutcome(results[1])
+}
+
+func newOutcome(res link.Result) (outcome, error) {
 	o := outcome{done: res.Column("state") == requestDone, tag: res.Column("tag")}
-	if o.done {
-		o.position, err = session.ParsePosition(res.Column("term") + "/" + res.Column("position"))
+	if !o.done {
+		return o, nil
 	}
+	var err error
+	o.position, err = session.ParsePosition(res.Column("term") + "/" + res.Column("position"))
 	return o, err
 }
 
@@ -143,14 +155,21 @@
 	return b
 }
 
-// runSingle runs one batch inside the transaction that beginRecorded opened, records its outcome and commits.
+// runSingle runs one batch in a transaction with the request id, records its outcome and commits. The
+// batch is sent together with the request id; if the id turns out to be known, the transaction is rolled
+// back, so that the batch has no effect. This saves a round trip over waiting for the answer first.
 func (c *callerSession) runSingle(ctx context.Context, r *request, id string) error {
 	x := &relay{c: c, r: r, ctx: ctx, lease: c.lease}
-	if err := x.runInside(); err != nil {
+	first, err := x.runInside(recordStatements(id))
+	if err != nil {
 		c.dropLease()
 		c.out = c.out[:0]
 		return err
 	}
+	if first.done {
+		c.out = c.out[:0]
+		return c.replay(ctx, r, first)
+	}
 	if x.status != 'T' {
 		return c.abortSingle(x)
 	}
@@ -185,15 +204,15 @@
 func (c *callerSession) setFinalStatus(status byte) { c.out[len(c.out)-1] = status }
 
 func (c *callerSession) commitRecorded(id, tag string) (link.Result, error) {
-	if err := c.outcomeStatement(id, tag); err != nil {
+	results, err := c.lease.Pipeline(outcomeStatement(id, tag), "COMMIT")
+	if err != nil {
 		return link.Result{}, err
 	}
-	return c.lease.Simple("COMMIT")
+	return results[1], nil
 }
 
-func (c *callerSession) outcomeStatement(id, tag string) error {
-	_, err := c.lease.Simple(fmt.Sprintf("SELECT group_outcome('%s', '%s')", id, tag))
-	return err
+func outcomeStatement(id, tag string) string {
+	return fmt.Sprintf("SELECT group_outcome('%s', '%s')", id, tag)
 }
 
 // recordOutcome records the outcome of the open transaction ahead of its COMMIT.
@@ -203,25 +222,40 @@
 		deadline = time.Time{}
 	}
 	c.lease.SetDeadline(deadline)
-	if err := c.outcomeStatement(c.recording, tag); err != nil {
+	if _, err := c.lease.Simple(outcomeStatement(c.recording, tag)); err != nil {
 		return recordError(verdict.NotRun, err)
 	}
 	return nil
 }
 
-// runInside exchanges a batch without confirming it, because the commit comes later.
-func (x *relay) runInside() error {
+// runInside exchanges a batch after the statements that record its request id, without confirming it,
+// because the commit comes later. It returns what the target knew of the request id.
+func (x *relay) runInside(record []string) (outcome, error) {
+	for _, s := range record {
+		if err := x.lease.QueueSimple(s); err != nil {
+			return outcome{}, recordError(verdict.NotRun, err)
+		}
+	}
 	if err := x.sendAll(); err != nil {
-		return x.linkError(err)
+		return outcome{}, recordError(verdict.NotRun, err)
+	}
+	results, err := x.lease.ReceiveSimple(record...)
+	if err != nil {
+		// Without a COMMIT nothing of the transaction takes effect.
+		return outcome{}, recordError(verdict.NotRun, err)
+	}
+	first, err := newOutcome(results[1])
+	if err != nil {
+		return first, recordError(verdict.NotRun, err)
 	}
 	if err := x.receiveAll(); err != nil {
-		return err
+		return first, recordError(verdict.NotRun, err)
 	}
 	if x.written == nil {
-		return nil
+		return first, nil
 	}
 	if err := <-x.written; err != nil {
-		return x.linkError(err)
+		return first, recordError(verdict.NotRun, err)
 	}
-	return nil
+	return first, nil
 }
