--- a/internal/scenario/fleet_test.go
+++ b/internal/scenario/fleet_test.go
@@ -210,8 +210,8 @@
 	return fmt.Sprintf("postgres://%s:%s@%s/%s?sslmode=disable", workspace, f.keys[workspace], f.vms[vm].callers, database)
 }
 
-// adoptOp makes VMs that a script started by hand known to connect, with the key that "key add" printed:
-// adopt KEYFILE WORKSPACE VM=ADDRESS...
+// adoptOp makes processes that a script started by hand known to connect and fault, with the key that "key add"
+// printed: adopt KEYFILE WORKSPACE VM=CALLER_ADDRESS... SERVER=ADMIN_ADDRESS...
 func adoptOp(w *world, ts *testscript.TestScript, args []string) (string, error) {
 	var id, key string
 	if _, err := fmt.Sscanf(ts.ReadFile(args[0]), "id %s\nkey %s\n", &id, &key); err != nil {
@@ -219,9 +219,14 @@
 	}
 	w.fleet = &scriptFleet{
 		platform: ts.Getenv("PLATFORM"), vms: make(map[string]vmAddresses), keys: map[string]string{args[1]: key},
+		servers: make(map[string]serverAddresses),
 	}
 	for _, a := range args[2:] {
 		name, address, _ := strings.Cut(a, "=")
+		if strings.HasPrefix(name, "s") {
+			w.fleet.servers[name] = serverAddresses{admin: address}
+			continue
+		}
 		w.fleet.vms[name] = vmAddresses{callers: address}
 	}
 	return "", nil
