--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -149,19 +149,6 @@
 	return found
 }
 
-// lacks returns which of the announced versions are newer than the known ones.
-func (c *config) lacks(announced []machine.Version) []string {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	var names []string
-	for _, v := range announced {
-		if v.Version > c.versions.Get(v.Name) {
-			names = append(names, v.Name)
-		}
-	}
-	return names
-}
-
 // withVersions calls f with the version index while no other goroutine changes it.
 func (c *config) withVersions(f func(*machine.Versions)) {
 	c.mu.Lock()
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -28,6 +28,7 @@
 	mu        sync.Mutex
 	state     *machine.Members
 	stopWatch context.CancelFunc
+	watching  bool // a watch is established and has not failed since
 }
 
 func newMembers(d *Daemon, self machine.VM, seeds []string, rng *rand.Rand) *members {
@@ -205,9 +206,17 @@
 	if err == nil {
 		m.d.learn(ctx, []platform.Object{o})
 	}
-	m.with(func(s *machine.Members) { s.Confirmed(started) })
+	// One object says nothing about the others; a watch that works does.
+	m.with(func(s *machine.Members) {
+		if m.watching {
+			s.Confirmed(started)
+		}
+	})
 }
 
+// setWatching records whether a watch is established.
+func (m *members) setWatching(on bool) { m.with(func(*machine.Members) { m.watching = on }) }
+
 func (m *members) startWatch(ctx context.Context) {
 	m.endWatch()
 	ctx, cancel := context.WithCancel(ctx)
@@ -244,7 +253,11 @@
 		return err
 	}
 	m.d.learn(ctx, objects)
-	m.with(func(s *machine.Members) { s.Confirmed(started) })
+	m.with(func(s *machine.Members) {
+		s.Confirmed(started)
+		m.watching = true
+	})
+	defer m.setWatching(false)
 	for {
 		objects, revision, err = m.d.store.Watch(ctx, "", revision)
 		if err != nil {
@@ -305,7 +318,11 @@
 
 func (h *handler) Push(ctx context.Context, objects []platform.Object, announced []machine.Version) ([]string, error) {
 	h.d.learn(h.d.ctx, objects)
-	return h.d.config.lacks(announced), nil
+	var wanted []string
+	h.d.config.withVersions(func(v *machine.Versions) {
+		h.d.members.with(func(s *machine.Members) { wanted = s.Wanted(h.d.now(), v, announced) })
+	})
+	return wanted, nil
 }
 
 func (h *handler) Cancel(ctx context.Context, link uint64, secret []byte) error {
