--- a/internal/bench/caller.go
+++ b/internal/bench/caller.go
@@ -58,6 +58,8 @@
 
 // run serves arrivals until the channel closes.
 func (c *caller) run(arrivals <-chan time.Duration) {
+	c.roam()
+	c.load.ready.Done()
 	for due := range arrivals {
 		s := sample{workspace: c.space.index, write: c.route == devfleet.RouteWrite, due: due}
 		if s.write {
@@ -72,11 +74,16 @@
 	c.drop()
 }
 
-// roam leaves the VM after a random number of requests, while no request waits for the caller.
+// roam moves to another VM after a random number of requests, between two requests, so that the login
+// does not count as latency. A failed login is left to the next request.
 func (c *caller) roam() {
-	if c.uses--; c.uses <= 0 {
-		c.drop()
+	if c.uses--; c.uses > 0 {
+		return
 	}
+	c.drop()
+	ctx, cancel := context.WithTimeout(c.load.ctx, connectTimeout)
+	defer cancel()
+	_, _ = c.connected(ctx)
 }
 
 func (c *caller) drop() {
--- a/internal/bench/load.go
+++ b/internal/bench/load.go
@@ -16,8 +16,7 @@
 	writeShare     = 0.2  // of the requests
 	remembered     = 256  // acknowledged writes of a workspace that reads choose from
 	maxArrivals    = 8192 // requests that wait for a free caller
-	smallCallers   = 12   // callers that write in a workspace; twice as many read
-	requestsEach   = 12.5 // requests per second for which one more writing caller is added
+	sessionRate    = 2.0  // requests per second of one session
 	greedyInFlight = 0.15 // seconds that a refused request occupies a caller, which includes its wait for tokens
 )
 
@@ -30,6 +29,7 @@
 	sealer   *session.Sealer
 	spaces   []*workspaceLoad
 	wg       sync.WaitGroup
+	ready    sync.WaitGroup // callers that have not connected yet
 }
 
 // workspaceLoad is the demand of one workspace.
@@ -121,38 +121,38 @@
 	return session%2 == 0
 }
 
+// connect starts the callers, which wait for arrivals.
+func (l *load) connect(seed uint64) {
+	for _, w := range l.spaces {
+		entitled := l.fleet.Deployment.Workspaces[w.index].Rate
+		sessions := int(min(w.rate, entitled)/sessionRate) + int(max(w.rate-entitled, 0)*greedyInFlight)
+		l.startCallers(w, max(sessions, 1), seed)
+	}
+	l.ready.Wait()
+}
+
 // run generates load until the given time and waits for the answers.
 func (l *load) run(until time.Duration, seed uint64) {
 	for _, w := range l.spaces {
-		writers := smallCallers + int(w.rate*writeShare/requestsEach)
-		readers := 2*smallCallers + int(w.rate*(1-writeShare)/requestsEach)
-		if entitled := l.fleet.Deployment.Workspaces[w.index].Rate; w.rate > entitled {
-			writers += int((w.rate - entitled) * greedyInFlight * writeShare)
-			readers += int((w.rate - entitled) * greedyInFlight * (1 - writeShare))
-		}
-		l.startCallers(w, writers, readers, seed)
 		l.wg.Go(func() { l.arrive(w, until, rand.New(rand.NewPCG(seed, uint64(w.index)))) })
 	}
 	l.wg.Wait()
 }
 
-func (l *load) startCallers(w *workspaceLoad, writers, readers int, seed uint64) {
-	sessions := make([]*customer, writers)
-	for i := range sessions {
-		sessions[i] = &customer{tokens: carriesTokens(w.group, i)}
-	}
+// startCallers starts sessions, each with one connection that writes and one that reads.
+func (l *load) startCallers(w *workspaceLoad, sessions int, seed uint64) {
 	add := func(i int, s *customer, route string, arrivals <-chan time.Duration) {
 		c := &caller{
 			load: l, space: w, session: s, route: route,
-			random: rand.New(rand.NewPCG(seed, uint64(1000*(w.index+1)+i))),
+			random: rand.New(rand.NewPCG(seed, uint64(10_000*(w.index+1)+i))),
 		}
+		l.ready.Add(1)
 		l.wg.Go(func() { c.run(arrivals) })
 	}
-	for i, s := range sessions {
-		add(i, s, devfleet.RouteWrite, w.writes)
-	}
-	for i := range readers {
-		add(writers+i, sessions[i%writers], devfleet.RouteLookup, w.reads)
+	for i := range sessions {
+		s := &customer{tokens: carriesTokens(w.group, i)}
+		add(2*i, s, devfleet.RouteWrite, w.writes)
+		add(2*i+1, s, devfleet.RouteLookup, w.reads)
 	}
 }
 
--- a/internal/bench/measure.go
+++ b/internal/bench/measure.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"siskinrouter/internal/verdict"
 )
 
 // Result holds what one run showed. Times are in milliseconds unless the name says otherwise.
@@ -218,7 +220,7 @@
 		mine := slices.DeleteFunc(slices.Clone(r.recorder.samples), func(s sample) bool { return s.workspace != i })
 		wr := workspaceResult(w.Name, mine, w.Rate, w.Burst)
 		wr.Excluded = r.withdrawal != nil && r.withdrawal.workspace == i
-		decisions := r.recorder.admissions[i]
+		decisions := slices.Concat(r.recorder.admissions[i], rateRefusals(mine, offset))
 		before, after := refusedInside(decisions, w.Rate, w.Burst, offset+steadyAfter)
 		wr.Inside = after
 		res.Inside.Count += after
@@ -241,6 +243,17 @@
 	res.Inside.WithinShare = ratio(float64(res.Inside.Within), float64(withinRequests))
 }
 
+// rateRefusals returns the refusals by the rate limit that callers got. offset is the start of the load.
+func rateRefusals(samples []sample, offset time.Duration) []admission {
+	var refusals []admission
+	for _, s := range samples {
+		if s.outcome == notRun && s.state == verdict.StateRateExceeded {
+			refusals = append(refusals, admission{from: offset + s.sent, to: offset + s.done})
+		}
+	}
+	return refusals
+}
+
 func workspaceResult(name string, samples []sample, rate, burst float64) WorkspaceResult {
 	arrivals := make([]time.Duration, 0, len(samples))
 	wr := WorkspaceResult{Name: name, Offered: len(samples)}
--- a/internal/bench/report.go
+++ b/internal/bench/report.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"math"
 	"os"
 	"path/filepath"
@@ -22,6 +23,7 @@
 	Policy     string    `json:"policy"`
 	Seed       uint64    `json:"seed"`
 	Duration   string    `json:"duration"`
+	Repeats    int       `json:"repeats"`
 	Machine    string    `json:"machine"`
 	Runs       []*Result `json:"runs"`
 	// Measures holds one value for each run.
@@ -37,7 +39,7 @@
 	}
 	return &Report{
 		Scenario: c.Scenario, Deployment: c.Deployment, Policy: policy, Seed: c.Seed, Duration: c.Duration.String(),
-		Machine: machineName(),
+		Repeats: c.Repeat, Machine: machineName(),
 	}
 }
 
@@ -125,16 +127,37 @@
 	return n
 }
 
+// title says what was run and where.
+func (r *Report) title() string {
+	return fmt.Sprintf("%s, %s, policy %s, %s, %d runs from seed %d, %s",
+		r.Scenario, r.Deployment, r.Policy, r.Duration, r.Repeats, r.Seed, r.Machine)
+}
+
+// names returns the names of the measures: those of all scenarios in their order, then the others.
+func (r *Report) names() []string {
+	var names []string
+	for _, m := range measures {
+		if _, ok := r.Measures[m.name]; ok {
+			names = append(names, m.name)
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(r.Measures)) {
+		if !slices.Contains(names, name) {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 // Print writes the measures: mean, least and greatest value over the runs.
 func (r *Report) Print(w io.Writer) {
-	fmt.Fprintf(w, "%s, %s, policy %s, %s, %d runs from seed %d, %s\n",
-		r.Scenario, r.Deployment, r.Policy, r.Duration, len(r.Runs), r.Seed, r.Machine)
-	for _, m := range measures {
-		values := r.Measures[m.name]
+	fmt.Fprintln(w, r.title())
+	for _, name := range r.names() {
+		values := r.Measures[name]
 		if !applies(values) {
 			continue
 		}
-		fmt.Fprintf(w, "  %-32s %10s   (%s to %s)\n", m.name, number(stat.Mean(values, nil)), number(slices.Min(values)), number(slices.Max(values)))
+		fmt.Fprintf(w, "  %-32s %10s   (%s to %s)\n", name, number(stat.Mean(values, nil)), number(slices.Min(values)), number(slices.Max(values)))
 	}
 	if len(r.Gaps) > 0 {
 		fmt.Fprintf(w, "  %-32s p50 %s  p99 %s  max %s  of %d\n", "failover gap ms",
@@ -190,6 +213,9 @@
 	if err := os.WriteFile(filepath.Join(dir, reportFile), text, 0o644); err != nil {
 		return "", fmt.Errorf("report: %w", err)
 	}
+	if len(r.Runs) == 0 {
+		return dir, nil
+	}
 	return dir, r.plots(dir)
 }
 
--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -62,6 +62,9 @@
 		return nil, err
 	}
 	report := newReport(c)
+	if c.Scenario == latencyScenario || c.Scenario == leaseScenario {
+		return report, runBaseline(ctx, c, report)
+	}
 	for i := range c.Repeat {
 		result, err := runOnce(ctx, c, i)
 		if err != nil {
@@ -73,6 +76,20 @@
 	return report, nil
 }
 
+// runBaseline runs the measurements that are not scenarios of a whole deployment.
+func runBaseline(ctx context.Context, c Config, report *Report) error {
+	for i := range c.Repeat {
+		if c.Scenario == leaseScenario {
+			runLease(c.Seed+uint64(i), report)
+			continue
+		}
+		if err := runLatency(ctx, c, report); err != nil {
+			return fmt.Errorf("run %d of %d: %w", i+1, c.Repeat, err)
+		}
+	}
+	return nil
+}
+
 func runOnce(ctx context.Context, c Config, index int) (*Result, error) {
 	r, err := newRun(c, index)
 	if err != nil {
@@ -113,15 +130,15 @@
 	return r, nil
 }
 
-// startFleet starts the deployment with a hook on the decisions of the rate limit.
+// startFleet starts the deployment with a hook on the admissions.
 func (r *run) startFleet(ctx context.Context, c Config) error {
 	index := make(map[string]int)
 	for i, w := range r.deployment.Workspaces {
 		index[w.Name] = i
 	}
 	r.base = time.Now()
-	r.deployment.Experiment.OnAdmission = func(workspace string, from, to time.Time, admitted bool) {
-		r.recorder.admission(index[workspace], admission{from: from.Sub(r.base), to: to.Sub(r.base), admitted: admitted})
+	r.deployment.Experiment.OnAdmission = func(workspace string, from, to time.Time) {
+		r.recorder.admission(index[workspace], admission{from: from.Sub(r.base), to: to.Sub(r.base), admitted: true})
 	}
 	var err error
 	if r.fleet, err = devfleet.Start(ctx, r.deployment, c.Log); err != nil {
@@ -134,6 +151,8 @@
 
 // drive runs the load and the script at the same time.
 func (r *run) drive(ctx context.Context) error {
+	r.load.start = time.Now()
+	r.load.connect(r.seed)
 	r.load.start = time.Now()
 	stop := make(chan struct{})
 	var duties sync.WaitGroup
--- a/internal/bench/run_test.go
+++ b/internal/bench/run_test.go
@@ -13,6 +13,7 @@
 	"siskinrouter/internal/devfleet"
 	"siskinrouter/internal/devtarget"
 	"siskinrouter/internal/session"
+	"siskinrouter/internal/verdict"
 )
 
 // startSmall starts a run of a small deployment without its load.
@@ -57,9 +58,8 @@
 	r.recorder.add(sample{write: true, key: "never-stored", outcome: acked})
 	r.recorder.add(sample{write: true, key: done + "x", outcome: unknown, falseAck: true})
 	r.recorder.add(sample{outcome: acked, wrong: true})
-	offset := r.load.start.Sub(r.base)
-	calm := offset + time.Hour // the bucket is full by then
-	r.recorder.admission(0, admission{from: calm, to: calm})
+	calm := time.Hour // the bucket is full by then
+	r.recorder.add(sample{outcome: notRun, state: verdict.StateRateExceeded, due: calm, sent: calm, done: calm})
 	got, err := r.result()
 	is.NoErr(err)
 	is.Equal(got.Correctness.DoubledWrites, 1)
--- a/internal/bench/scenario.go
+++ b/internal/bench/scenario.go
@@ -75,7 +75,7 @@
 	for _, s := range scenarios {
 		names = append(names, s.name)
 	}
-	return names
+	return append(names, latencyScenario, leaseScenario)
 }
 
 // Help returns one line for each scenario.
@@ -84,7 +84,9 @@
 	for _, s := range scenarios {
 		lines = append(lines, fmt.Sprintf("%-17s %s", s.name, s.help))
 	}
-	return lines
+	return append(lines,
+		fmt.Sprintf("%-17s %s", latencyScenario, "a read through one VM against a direct one, without distance"),
+		fmt.Sprintf("%-17s %s", leaseScenario, "computed, not measured: the failover gap of the alternative design with a platform lease"))
 }
 
 func findScenario(name string) (scenario, error) {
--- a/internal/cli/bench.go
+++ b/internal/cli/bench.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 
 	"github.com/peterbourgon/ff/v3"
@@ -14,7 +15,8 @@
 )
 
 func (e *env) benchCommand() *ffcli.Command {
-	return e.parentCommand("bench", "Measure a whole deployment in one process on loopback.", e.benchRunCommand())
+	return e.parentCommand("bench", "Measure a whole deployment in one process on loopback.",
+		e.benchRunCommand(), e.benchCompareCommand())
 }
 
 func (e *env) benchRunCommand() *ffcli.Command {
@@ -47,6 +49,54 @@
 	}
 }
 
+func (e *env) benchCompareCommand() *ffcli.Command {
+	fs := e.flagSet("compare")
+	c := bench.Config{Progress: e.err}
+	fs.StringVar(&c.Scenario, "scenario", "steady", "scenario to run if A and B are policies")
+	fs.StringVar(&c.Deployment, "deployment", bench.Deployments[0], "one of "+strings.Join(bench.Deployments, ", "))
+	fs.DurationVar(&c.Duration, "duration", bench.DefaultDuration, "time during which requests arrive")
+	fs.IntVar(&c.Repeat, "repeat", 5, "number of runs of each policy")
+	fs.Uint64Var(&c.Seed, "seed", 1, "seed of the first run of each policy, and of the comparison")
+	report := fs.String("report", "", "directory for the reports; empty for none")
+	return &ffcli.Command{
+		Name: "compare", ShortUsage: "siskinrouter bench compare [flags] A B",
+		ShortHelp: "Compare two reports, or run and compare two policies.",
+		LongHelp:  "A and B are report files or their directories, or policies: " + strings.Join(bench.Policies, ", ") + ".",
+		FlagSet:   fs,
+		Options:   []ff.Option{ff.WithEnvVarPrefix(envPrefix)},
+		Exec: func(ctx context.Context, args []string) error {
+			if len(args) != 2 {
+				return flag.ErrHelp
+			}
+			return e.benchCompare(ctx, c, args[0], args[1], *report)
+		},
+	}
+}
+
+func (e *env) benchCompare(ctx context.Context, c bench.Config, nameA, nameB, dir string) error {
+	if slices.Contains(bench.Policies, nameA) && slices.Contains(bench.Policies, nameB) {
+		a, b, err := bench.RunPair(ctx, c, nameA, nameB)
+		if err != nil {
+			return err
+		}
+		bench.PrintComparison(e.out, a, b, c.Seed)
+		if err := writeReport(e.out, a, dir); err != nil {
+			return err
+		}
+		return writeReport(e.out, b, dir)
+	}
+	a, err := bench.Load(nameA)
+	if err != nil {
+		return err
+	}
+	b, err := bench.Load(nameB)
+	if err != nil {
+		return err
+	}
+	bench.PrintComparison(e.out, a, b, c.Seed)
+	return nil
+}
+
 // parseAround parses flags that follow the first argument, so that both orders work.
 func parseAround(fs *flag.FlagSet, args []string) ([]string, error) {
 	if len(args) < 2 {
--- a/internal/daemon/experiment.go
+++ b/internal/daemon/experiment.go
@@ -16,9 +16,9 @@
 	FIFO bool
 	// StaticSplit leaves every VM with the share that it owns: no loans are asked for.
 	StaticSplit bool
-	// OnAdmission is called for every decision of the rate limit. The decision was made between
-	// from and to. It is called on the path of requests and must not block.
-	OnAdmission func(workspace string, from, to time.Time, admitted bool)
+	// OnAdmission is called for every request that the rate limit admits, at some time between from
+	// and to. It is called on the path of requests and must not block.
+	OnAdmission func(workspace string, from, to time.Time)
 }
 
 // route returns the route as the experiment serves it.
@@ -37,8 +37,9 @@
 	return d.newQueue(s)
 }
 
-func (e Experiment) admission(workspace string, from time.Time, admitted bool) {
+// admitted reports one admission whose decision began at from.
+func (e Experiment) admitted(workspace string, from time.Time) {
 	if e.OnAdmission != nil {
-		e.OnAdmission(workspace, from, time.Now(), admitted)
+		e.OnAdmission(workspace, from, time.Now())
 	}
 }
--- a/internal/daemon/rates.go
+++ b/internal/daemon/rates.go
@@ -85,7 +85,7 @@
 	from := time.Now()
 	ok, wait, known := r.try(w.Name, true)
 	if ok {
-		r.d.experiment.admission(w.Name, from, true)
+		r.d.experiment.admitted(w.Name, from)
 		return nil
 	}
 	if !known {
@@ -98,11 +98,10 @@
 		sleep(ctx, min(max(wait, time.Millisecond), admitPause))
 		attempt := time.Now()
 		if ok, wait, _ = r.try(w.Name, false); ok {
-			r.d.experiment.admission(w.Name, attempt, true)
+			r.d.experiment.admitted(w.Name, attempt)
 			return nil
 		}
 	}
-	r.d.experiment.admission(w.Name, from, false)
 	return verdict.Errorf(verdict.NotRun, verdict.StateRateExceeded,
 		"workspace %q exceeds its rate of %g requests per second with burst %g; try again later", w.Name, w.Rate, w.Burst)
 }
