--- a/internal/devfleet/fleet.go
+++ b/internal/devfleet/fleet.go
@@ -41,7 +41,7 @@
 	Platform   *devplatform.Server
 	Operator   *operator.Client
 	Groups     []*devtarget.Group
-	Keys       map[string]string // secret by workspace
+	Keys       map[string]string // secret by workspace; SetKey replaces one while the fleet runs
 	KeyIDs     map[string]string // key id by workspace
 
 	log         *log.Logger
@@ -261,7 +261,19 @@
 	if route != "" {
 		database += "." + route
 	}
-	return fmt.Sprintf("postgres://%s:%s@%s/%s?sslmode=disable", workspace, f.Keys[workspace], vm.Address, database)
+	f.mu.Lock()
+	key := f.Keys[workspace]
+	f.mu.Unlock()
+	return fmt.Sprintf("postgres://%s:%s@%s/%s?sslmode=disable", workspace, key, vm.Address, database)
+}
+
+// SetKey replaces the key with which URL presents a workspace, and returns the id of the earlier one.
+func (f *Fleet) SetKey(workspace, id, secret string) (earlier string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	earlier = f.KeyIDs[workspace]
+	f.Keys[workspace], f.KeyIDs[workspace] = secret, id
+	return earlier
 }
 
 // FleetKey returns the key that seals session tokens.
--- a/internal/scenario/script_test.go
+++ b/internal/scenario/script_test.go
@@ -94,6 +94,7 @@
 
 // Guards the guarantees of the design page against failures of whole processes.
 func TestScripts(t *testing.T) {
+	t.Parallel()
 	cmds := map[string]func(*testscript.TestScript, bool, []string){
 		"ports":      portsCmd,
 		"expand":     expandCmd,
