Keep sessions from a primary of an earlier term than their last write

Cause: a caller that carries a token was sent to the server that the VM took for the primary without comparing its term with the token. Before: TestSessionDoesNotReadFromFormerPrimary read 1 after the write of 2 was acknowledged.

--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -195,7 +195,7 @@
 	w := link.Waiter{Workspace: r.access.Workspace.Name, Weight: r.access.Workspace.Weight}
 	w.Deadline, _ = ctx.Deadline()
 	if !r.read {
-		return r.access.Group.AcquirePrimary(ctx, w)
+		return c.acquirePrimary(ctx, r, w)
 	}
 	floor, err := c.readFloor(ctx, r)
 	if err != nil {
@@ -206,6 +206,19 @@
 	})
 }
 
+// acquirePrimary returns a link to the primary. A server that leads in an earlier term than that of the
+// session's last write was superseded and may lack the write.
+func (c *callerSession) acquirePrimary(ctx context.Context, r *request, w link.Waiter) (*target.Lease, error) {
+	lease, err := r.access.Group.AcquirePrimary(ctx, w)
+	if err != nil || lease.Term >= c.floor.Term {
+		return lease, err
+	}
+	lease.Release()
+	return nil, verdict.Errorf(verdict.NotRun, verdict.StateReadOnly,
+		"target %s is no longer the primary: it leads in term %d, and the session has a write of term %d",
+		lease.Server, lease.Term, c.floor.Term)
+}
+
 // readFloor returns the position that a read must see: the caller's own if it carries one, otherwise
 // that of the last write acknowledged in the group before the read arrived.
 func (c *callerSession) readFloor(ctx context.Context, r *request) (session.Position, error) {
