Confirm a repeated request in the term of the primary that reported its outcome

Cause: the outcome of a repeat counted as confirmed as soon as a majority had promised a later term than that of the outcome. Before: TestRepeatIsNotAnsweredByFormerPrimary: the repeat was acknowledged, and the request id was in the log of the new primary 0 times.

--- a/internal/proxy/record.go
+++ b/internal/proxy/record.go
@@ -112,16 +112,20 @@
 	}
 }
 
-// replay answers a repeated request with its first outcome, once a majority holds it.
+// replay answers a repeated request with its first outcome, once a majority holds it. The outcome is
+// confirmed in the term of the primary that reported it: a log that ends in this term at or beyond the
+// offset contains the outcome, also if that has an earlier term. A later term at a majority proves
+// nothing, because the primary that reported the outcome may be a former one.
 func (c *callerSession) replay(ctx context.Context, r *request, first outcome) error {
 	if _, err := c.lease.Simple("ROLLBACK"); err != nil {
 		c.dropLease()
 		return recordError(verdict.Ran, err)
 	}
+	term := c.lease.Term
 	c.releaseLease()
 	ctx, cancel := context.WithTimeout(ctx, c.srv.cfg.ConfirmTimeout)
 	defer cancel()
-	if err := c.confirmFirst(ctx, r, first); err != nil {
+	if err := r.access.Group.Confirm(ctx, session.Position{Term: term, Offset: first.position.Offset}); err != nil {
 		return err
 	}
 	c.srv.cfg.Policy.Explain(c.srv.cfg.Policy.NewID(), "repeat of a finished request answered with its first outcome",
@@ -137,17 +141,6 @@
 	return c.flush()
 }
 
-// confirmFirst waits until a majority is known to hold the first outcome. A position of an earlier term
-// is confirmed by any majority whose floor reaches it under the current primary.
-func (c *callerSession) confirmFirst(ctx context.Context, r *request, first outcome) error {
-	g := r.access.Group
-	_, term, err := g.Floor(ctx, g.Demand())
-	if err == nil && term > first.position.Term {
-		return nil
-	}
-	return g.Confirm(ctx, first.position)
-}
-
 func maxPosition(a, b session.Position) session.Position {
 	if a.Compare(b) >= 0 {
 		return a
