Report an open outcome when a query fails after a COMMIT inside it

Before: TestRefusalAfterCommitInOneQuery read the committed value after 'not run'. After: the verdict is 'may have run'.

--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -76,6 +76,7 @@
 	tag      string        // last command tag
 	held     bool          // the output contains the end of a statement
 	failed   bool          // the target reported an error
+	ended    bool          // the batch itself has committed a transaction
 	written  chan error    // result of a write in the background
 }
 
@@ -211,10 +212,11 @@
 		x.lease.Break()
 		return nil
 	case *pgproto3.CopyInResponse, *pgproto3.CopyOutResponse, *pgproto3.CopyBothResponse:
-		return verdict.Errorf(verdict.NotRun, verdict.StateFeatureNotSupported, "COPY is not supported")
+		return verdict.Errorf(x.refusal(), verdict.StateFeatureNotSupported, "COPY is not supported")
 	case *pgproto3.CommandComplete:
 		x.held = true
 		x.tag = string(m.CommandTag)
+		x.ended = x.ended || x.tag == "COMMIT"
 		if leavesState(x.tag) {
 			x.lease.Break()
 		}
@@ -256,13 +258,13 @@
 	if m.Severity == "FATAL" || m.Severity == "PANIC" {
 		return x.linkError(fmt.Errorf("%s (SQLSTATE %s)", m.Message, m.Code))
 	}
-	if m.Code == verdict.StateReadOnly && x.lease.Primary && x.r.first && !x.r.flushed {
+	if m.Code == verdict.StateReadOnly && x.lease.Primary && x.r.first && !x.r.flushed && !x.ended {
 		return verdict.Errorf(verdict.NotRun, verdict.StateReadOnly,
 			"target %s is no longer the primary: %s", x.lease.Server, m.Message)
 	}
 	x.failed = true
 	x.held = true
-	detail := "verdict=" + verdict.NotRun.String()
+	detail := "verdict=" + x.refusal().String()
 	if m.Detail != "" {
 		detail = m.Detail + " " + detail
 	}
@@ -272,6 +274,15 @@
 	return nil
 }
 
+// refusal returns the verdict after the target refused a statement. Its transaction is rolled back, but
+// an earlier part of the batch may have committed by itself.
+func (x *relay) refusal() verdict.Verdict {
+	if x.ended {
+		return verdict.MayHaveRun
+	}
+	return verdict.NotRun
+}
+
 // passOn sends rows to the caller before the statement ends, so that large results need little memory.
 func (x *relay) passOn() error {
 	if len(x.c.out) < flushSize {
