Accept callers only once a VM can serve them; hand rate over on shutdown

It now accepts callers once it knows its configuration, the state of its groups and VMs that lend it rate, passes its own slots on when it shuts down, and lets a request wait 250 ms instead of 100 ms for tokens.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -165,7 +165,10 @@
 		"fleet", d.fleetLn.Addr().String())
 	var g run.Group
 	g.Add(func() error { return d.untilDrained(ctx) }, func(error) { d.cancel() })
-	g.Add(func() error { return d.callers.Serve(d.callerLn) }, func(error) { _ = d.callerLn.Close() })
+	g.Add(func() error {
+		d.awaitReady()
+		return d.callers.Serve(d.callerLn)
+	}, func(error) { _ = d.callerLn.Close() })
 	d.addFleet(&g, d.fleetLn)
 	if adminListener != nil {
 		admin := d.newAdminServer()
@@ -214,6 +217,7 @@
 	d.leaving.Store(true)
 	d.members.with(func(s *machine.Members) { s.Leave() })
 	d.registerNow(platform.VMLeaving)
+	d.handOver()
 	drainCtx, cancel := context.WithTimeout(context.Background(), d.settings.Timings.DrainTimeout)
 	defer cancel()
 	cut := d.callers.Drain(drainCtx, verdict.Errorf(verdict.NotRun, verdict.StateAdminShutdown,
--- a/internal/daemon/owners.go
+++ b/internal/daemon/owners.go
@@ -17,6 +17,8 @@
 const (
 	ownersEvery   = time.Second
 	ownersTimeout = 3 * time.Second
+	// handOverTimeout bounds the part of a shutdown in which the platform may be down.
+	handOverTimeout = time.Second
 )
 
 // decodeOwners returns the owners of a failure domain's part, which is the same for all domains.
@@ -110,6 +112,25 @@
 	return errors.Join(errs...)
 }
 
+// handOver passes all slots of this VM on before it shuts down. Its successors start after one loan
+// lifetime, for which the borrowers keep what this VM has lent them, so no rate is missing meanwhile.
+func (d *Daemon) handOver() {
+	ctx, cancel := context.WithTimeout(d.ctx, handOverTimeout)
+	defer cancel()
+	c := d.config.snapshot().contract
+	live := d.liveByDomain()
+	for _, domain := range c.Domains {
+		candidates := live[domain]
+		if len(candidates) == 0 {
+			// Without a successor the slots stay with this VM until the platform has dropped it.
+			continue
+		}
+		if err := d.returnSlots(ctx, c, domain, candidates); err != nil {
+			d.log.Debug("slots not handed over", "object", catalog.PrefixOwners+domain, "err", err)
+		}
+	}
+}
+
 // returnSlots hands slots that this VM took over back to the VMs of a failure domain that is alive again.
 func (d *Daemon) returnSlots(ctx context.Context, c *contract.Contract, domain string, candidates []grant.VM) error {
 	self := runOf(d.self)
--- a/internal/daemon/policy.go
+++ b/internal/daemon/policy.go
@@ -27,6 +27,10 @@
 }
 
 func (p *policy) lookup(s *snapshot, database string) (contract.Service, contract.Route, error) {
+	if len(s.contract.Services) == 0 {
+		return contract.Service{}, contract.Route{}, verdict.Errorf(verdict.NotRun, verdict.StateCannotConnectNow,
+			"this VM has no configuration yet; try another VM")
+	}
 	service, route, err := s.contract.Lookup(database)
 	if err != nil {
 		return service, route, verdict.Errorf(verdict.NotRun, verdict.StateInvalidCatalog, "%w", err)
--- a/internal/daemon/rates.go
+++ b/internal/daemon/rates.go
@@ -18,9 +18,11 @@
 const (
 	// admitWait is the longest time that a request waits for tokens, which covers a loan from a VM in
 	// another failure domain.
-	admitWait  = 100 * time.Millisecond
+	admitWait  = 250 * time.Millisecond
 	admitPause = 5 * time.Millisecond // between two attempts to be admitted
 	lendWait   = 500 * time.Millisecond
+	// peersRefresh is the time between two updates of the VMs that may be asked for loans.
+	peersRefresh = 200 * time.Millisecond
 	// ownersVersionBits is the room for the version of an owners object below that of the operators' text.
 	ownersVersionBits = 32
 )
@@ -32,6 +34,7 @@
 	manager *grant.Manager
 	wake    chan struct{}
 	known   map[string]contract.Workspace
+	peers   int // VMs that may be asked for loans
 }
 
 func newRates(d *Daemon, self machine.VM, seed int64) *rates {
@@ -149,7 +152,7 @@
 	defer tick.Stop()
 	peersAt := time.Duration(-1)
 	for {
-		if now := r.d.now(); peersAt < 0 || now-peersAt > time.Second {
+		if now := r.d.now(); peersAt < 0 || now-peersAt > peersRefresh {
 			peersAt = now
 			r.setPeers()
 		}
@@ -173,6 +176,13 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.manager.SetPeers(peers)
+	r.peers = len(peers)
+}
+
+func (r *rates) hasPeers() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.peers > 0
 }
 
 func (r *rates) poll(ctx context.Context) {
--- a/internal/target/group.go
+++ b/internal/target/group.go
@@ -43,6 +43,7 @@
 	wantPosition session.Position
 	blocked      map[string]Block // servers that may not get certain work
 	held         bool             // new transactions on the primary wait
+	tried        map[string]bool  // servers that have answered or failed to answer
 }
 
 // Block says which work a server may not get.
@@ -65,6 +66,7 @@
 		servers: make(map[string]*serverRuntime, len(cfg.Group.Servers)),
 		changed: make(chan struct{}),
 		blocked: make(map[string]Block),
+		tried:   make(map[string]bool),
 	}
 	var members []routing.Server
 	for _, s := range cfg.Group.Servers {
@@ -145,6 +147,7 @@
 func (g *Group) observe(server string, sentAt time.Duration, a Answer) {
 	g.mu.Lock()
 	g.view.Observe(server, sentAt, a.Status)
+	g.tried[server] = true
 	g.broadcast()
 	g.mu.Unlock()
 	if g.cfg.OnStatus != nil {
@@ -155,6 +158,7 @@
 func (g *Group) fail(server string, err error) {
 	g.mu.Lock()
 	g.view.Fail(server)
+	g.tried[server] = true
 	g.broadcast()
 	g.mu.Unlock()
 	// Idle links to a server that does not answer are likely broken; a request sent over one would
@@ -182,6 +186,13 @@
 	return nil
 }
 
+// Tried reports whether every server has answered or failed to answer at least once.
+func (g *Group) Tried() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.tried) == len(g.servers)
+}
+
 // Demand asks for status queries that start now or later, and returns that time.
 func (g *Group) Demand() time.Duration {
 	g.mu.Lock()
