Refuse a request id on a batch of several statements

Cause: the request id is recorded in a transaction that the proxy opens and commits. Before: TestRequestIDWithSeveralStatements: 'ADD k 1; COMMIT' sent twice with one id was written twice, and 'BEGIN; ADD k 1; COMMIT' was answered without having run. After: such requests are refused as not run; single statements and step-by-step transactions run once.

--- a/internal/proxy/batch.go
+++ b/internal/proxy/batch.go
@@ -98,6 +98,29 @@
 	return ""
 }
 
+// several reports whether the batch executes more than one statement. Only semicolons outside quotes
+// separate the statements of a simple query.
+func (b *batch) several() bool {
+	executes := 0
+	for _, it := range b.items {
+		if it.kind == kindExecute {
+			executes++
+		}
+	}
+	var quote rune // the quote that is open, or 0
+	for i, r := range b.query {
+		switch {
+		case r == quote:
+			quote = 0
+		case quote == 0 && (r == '\'' || r == '"'):
+			quote = r
+		case r == ';' && quote == 0 && strings.Trim(b.query[i:], "; \t\r\n") != "":
+			return true
+		}
+	}
+	return executes > 1
+}
+
 // readBatch reads messages until the caller waits for an answer.
 func (c *callerSession) readBatch() (*batch, error) {
 	b := &batch{}
--- a/internal/proxy/record.go
+++ b/internal/proxy/record.go
@@ -37,6 +37,10 @@
 // runRecorded serves the first batch of a transaction that has a request id. The id is recorded in the
 // target in the same transaction as the effect, so that a repeat is answered with the first outcome.
 func (c *callerSession) runRecorded(ctx context.Context, r *request) error {
+	if r.batch.several() {
+		c.releaseLease()
+		return errSeveral()
+	}
 	if deadline, ok := ctx.Deadline(); ok {
 		c.lease.SetDeadline(deadline)
 	}
@@ -60,6 +64,12 @@
 	return c.answerBegin(r)
 }
 
+// errSeveral refuses a batch that could end a transaction before its outcome is recorded.
+func errSeveral() *verdict.Error {
+	return verdict.Errorf(verdict.NotRun, verdict.StateFeatureNotSupported,
+		"a request id needs a single statement, or an explicit transaction whose statements are sent one by one")
+}
+
 // recordStatements open a transaction and record the request id in it.
 func recordStatements(id string) []string {
 	return []string{"BEGIN", fmt.Sprintf("SELECT group_request('%s')", id)}
@@ -163,6 +173,12 @@
 		c.out = c.out[:0]
 		return c.replay(ctx, r, first)
 	}
+	if x.status == 'I' {
+		c.dropLease()
+		c.out = c.out[:0]
+		return verdict.Errorf(verdict.MayHaveRun, verdict.StateFeatureNotSupported,
+			"the statement ended the transaction in which its request id was to be recorded")
+	}
 	if x.status != 'T' {
 		return c.abortSingle(x)
 	}
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -237,6 +237,9 @@
 	defer cancel()
 	r := &request{batch: b, access: a, since: c.srv.cfg.Clock()}
 	r.read = a.Route.Read || c.readOnly
+	if c.recording != "" && b.several() {
+		return c.refuseBatch(b, errSeveral())
+	}
 	if c.recording != "" && isCommit(b.text()) {
 		if err := c.recordOutcome(ctx, "COMMIT"); err != nil {
 			c.dropLease()
