--- a/internal/scenario/process_test.go
+++ b/internal/scenario/process_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -204,6 +205,32 @@
 	return out.String(), nil
 }
 
+// raceOp runs two commands of the binary at once and prints how many succeeded: race ARGS... -- ARGS...
+func raceOp(w *world, ts *testscript.TestScript, args []string) (string, error) {
+	path, err := binary(ts)
+	if err != nil {
+		return "", err
+	}
+	w.platform = ts.Getenv("PLATFORM")
+	i := slices.Index(args, "--")
+	results := make(chan error, 2)
+	for _, a := range [][]string{args[:i], args[i+1:]} {
+		go func() {
+			_, err := w.run(path, a...)
+			results <- err
+		}()
+	}
+	succeeded, refusals := 0, ""
+	for range 2 {
+		if err := <-results; err != nil {
+			refusals += err.Error() + "\n"
+		} else {
+			succeeded++
+		}
+	}
+	return fmt.Sprintf("%d succeeded\n%s", succeeded, refusals), nil
+}
+
 // poll repeats f until it succeeds.
 func poll(f func() error) error {
 	start := time.Now()
--- a/internal/scenario/script_test.go
+++ b/internal/scenario/script_test.go
@@ -54,6 +54,7 @@
 	procs  map[string]*process
 	conns  map[string]*pgx.Conn
 	loads  map[string]*load
+	floods map[string]*flood
 	remote map[string]chan outcome
 	fleet  *scriptFleet
 	names  int
@@ -85,6 +86,9 @@
 	"load":       loadOp,
 	"unload":     unloadOp,
 	"run":        runOp,
+	"race":       raceOp,
+	"flood":      floodOp,
+	"admitted":   admittedOp,
 	"raw":        rawOp,
 	"refusal-id": refusalIDOp,
 	"forbid":     forbidOp,
@@ -125,7 +129,7 @@
 	scriptSlots <- struct{}{}
 	w := &world{
 		dir: env.WorkDir, procs: make(map[string]*process), conns: make(map[string]*pgx.Conn),
-		loads: make(map[string]*load), remote: make(map[string]chan outcome),
+		loads: make(map[string]*load), floods: make(map[string]*flood), remote: make(map[string]chan outcome),
 	}
 	env.Values[worldKey{}] = w
 	env.Defer(func() {
@@ -140,6 +144,9 @@
 	for _, l := range w.loads {
 		l.stop()
 	}
+	for _, f := range w.floods {
+		f.stop()
+	}
 	for _, c := range w.conns {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		_ = c.Close(ctx)
