--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -61,6 +61,7 @@
 			e.targetCommand(),
 			e.statusCommand(),
 			e.explainCommand(),
+			e.capacityCommand(),
 			e.devCommand(),
 			e.versionCommand(),
 			e.checkCommand(),
