Report terms in the stand-in's status only

Cause: the list of terms was formatted in promotion.Member.Status, which the exploration calls in every state.

--- a/internal/devtarget/server.go
+++ b/internal/devtarget/server.go
@@ -247,9 +247,20 @@
 	st := s.member.Status()
 	st.Applied = s.member.At(s.store.applied())
 	st.Active = len(s.txs)
+	st.Terms = s.terms()
 	return st
 }
 
+// reportedTerms bounds the terms in a status row. A write whose outcome is still asked for is at most a
+// few terms old.
+const reportedTerms = 4
+
+// terms returns the last positions of the latest terms in the log. The lock is held.
+func (s *Server) terms() string {
+	terms := s.member.Boundaries()
+	return session.FormatPositions(terms[max(0, len(terms)-reportedTerms):])
+}
+
 // applyUntil applies the log up to offset. The caller holds mu.
 func (s *Server) applyUntil(offset uint64) {
 	for at := s.store.applied() + 1; at <= offset; at++ {
--- a/internal/promotion/member.go
+++ b/internal/promotion/member.go
@@ -93,10 +93,6 @@
 	}, nil
 }
 
-// reportedTerms bounds the terms in a status row. A write whose outcome is still asked for is at most
-// a few terms old.
-const reportedTerms = 4
-
 // Confirms reports whether the status proves that the server holds pos, a position written by
 // the primary of pos.Term. A log that ends in a later term proves nothing: its primary may
 // have discarded pos, although the position compares as covered.
@@ -168,16 +164,9 @@
 // NewMember returns a server with an empty log that has promised no term.
 func NewMember[D any](name string) *Member[D] { return &Member[D]{name: name} }
 
-// Status returns the status of the server. The caller fills in Applied and Active.
+// Status returns the status of the server. The caller fills in Applied, Terms and Active.
 func (m *Member[D]) Status() Status {
-	terms := m.Boundaries()
-	if len(terms) > reportedTerms {
-		terms = terms[len(terms)-reportedTerms:]
-	}
-	return Status{
-		Server: m.name, Role: m.role, Promised: m.promised, Held: m.Held(), Primary: m.primary,
-		Terms: session.FormatPositions(terms),
-	}
+	return Status{Server: m.name, Role: m.role, Promised: m.promised, Held: m.Held(), Primary: m.primary}
 }
 
 // Held returns the position of the last log entry.
