--- a/internal/bench/scenario.go
+++ b/internal/bench/scenario.go
@@ -61,7 +61,7 @@
 	{name: "steady", help: "mixed load of all workspaces at 60% of their rates", factors: normal},
 	{name: "greedy", help: "one large tenant at 5 times its rate, the others at 80%", factors: greedy},
 	{name: "primary-killed", help: "the primaries of the groups are killed in turn", factors: normal, script: killPrimaries},
-	{name: "primary-isolated", help: "the primaries are cut off from the other failure domains in turn", factors: normal, script: isolatePrimaries},
+	{name: "primary-isolated", help: "the primary of each group is cut off from the other failure domains, one after the other", factors: normal, script: isolatePrimaries},
 	{name: "replica-lag", help: "reads on replicas see data that is 100 ms old", factors: normal, prepare: lagReplicas},
 	{name: "platform-down", help: "the platform is down in the middle third", factors: normal, script: platformDown},
 	{name: "key-withdrawn", help: "the key of a workspace is withdrawn, later it gets a new one", factors: normal, script: withdrawKey},
@@ -104,61 +104,73 @@
 	at, effective time.Duration
 }
 
-// primaryFaults calls inject for one group after the other until too little time is left. inject
-// starts the fault and returns how to end it.
-func (r *run) primaryFaults(inject func(*devtarget.Server) (heal func() error)) error {
-	at := faultLead
-	for n := 0; at+faultTail <= r.duration; n++ {
-		r.sleepUntil(at)
-		group := n % len(r.fleet.Groups)
-		if err := r.primaryFault(group, inject); err != nil {
-			return err
-		}
-		at += faultPeriod
-	}
-	return nil
-}
-
-func (r *run) primaryFault(group int, inject func(*devtarget.Server) func() error) error {
+// failPrimary makes the present primary of a group fail.
+func (r *run) failPrimary(group int, inject func(*devtarget.Server)) (*devtarget.Server, error) {
 	primary := r.fleet.Groups[group].Primary()
 	if primary == nil {
-		return fmt.Errorf("group %d has no primary at %v", group+1, r.load.now())
+		return nil, fmt.Errorf("group %d has no primary at %v", group+1, r.load.now())
 	}
 	f := fault{group: group, at: r.load.now()}
-	heal := inject(primary)
+	inject(primary)
 	f.effective = r.load.now()
 	r.faults = append(r.faults, f)
 	r.event("primary %s fails", primary.Name())
-	r.sleepUntil(f.at + faultHold)
-	r.event("%s returns", primary.Name())
-	return heal()
+	return primary, nil
 }
 
+// killPrimaries kills the primaries of the groups in turn until too little time is left. Each returns
+// before the next one fails.
 func killPrimaries(r *run) error {
-	return r.primaryFaults(func(s *devtarget.Server) func() error {
-		s.Kill()
-		return s.Restart
-	})
+	at := faultLead
+	for n := 0; at+faultTail <= r.duration; n++ {
+		r.sleepUntil(at)
+		s, err := r.failPrimary(n%len(r.fleet.Groups), (*devtarget.Server).Kill)
+		if err != nil {
+			return err
+		}
+		r.sleepUntil(at + faultHold)
+		r.event("%s returns", s.Name())
+		if err := s.Restart(); err != nil {
+			return err
+		}
+		at += faultPeriod
+	}
+	return nil
 }
 
-// isolatePrimaries cuts a primary off from the other servers and from the VMs of other failure
-// domains. The VMs of its own failure domain still reach it, and it still believes it leads.
+// isolatePrimaries cuts the primary of each group off from the other servers and from the VMs of other
+// failure domains until the load ends. The VMs of its own failure domain still reach it, and it still
+// believes that it leads. An isolation that ends soon would hide requests that wait for its end.
 func isolatePrimaries(r *run) error {
-	return r.primaryFaults(func(s *devtarget.Server) func() error {
-		cut := func(on bool) {
-			s.IsolatePeers(on)
-			for _, vm := range r.fleet.VMs() {
-				if vm.Domain != s.Domain() {
-					s.IsolateClient(vm.Name, on)
-				}
-			}
+	at := faultLead
+	var isolated []*devtarget.Server
+	for group := range r.fleet.Groups {
+		if at+faultTail > r.duration {
+			break
+		}
+		r.sleepUntil(at)
+		s, err := r.failPrimary(group, func(s *devtarget.Server) { r.isolate(s, true) })
+		if err != nil {
+			return err
 		}
-		cut(true)
-		return func() error {
-			cut(false)
-			return nil
+		isolated = append(isolated, s)
+		at += faultPeriod
+	}
+	r.sleepUntil(r.duration)
+	r.event("the isolated servers return")
+	for _, s := range isolated {
+		r.isolate(s, false)
+	}
+	return nil
+}
+
+func (r *run) isolate(s *devtarget.Server, on bool) {
+	s.IsolatePeers(on)
+	for _, vm := range r.fleet.VMs() {
+		if vm.Domain != s.Domain() {
+			s.IsolateClient(vm.Name, on)
 		}
-	})
+	}
 }
 
 func lagReplicas(r *run) { r.deployment.Lag = replicaLag }
