--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -145,7 +145,7 @@
 		MaxConnections: limits.MaxConnections, MaxMessage: limits.MaxMessageBytes, MaxBatch: limits.MaxMessageBytes,
 		LoginTimeout: limits.LoginTimeout, RequestTimeout: limits.StatementTimeout,
 		ConfirmTimeout: confirmTimeout, WriteTimeout: writeTimeout, CloseGrace: closeGrace,
-		Clock: d.now, ForwardCancel: d.forwardCancel,
+		Clock: d.now, ForwardCancel: d.forwardCancel, Without: d.experiment.Without.Proxy,
 	}
 }
 
--- a/internal/daemon/experiment.go
+++ b/internal/daemon/experiment.go
@@ -5,6 +5,7 @@
 
 	"siskinrouter/internal/contract"
 	"siskinrouter/internal/link"
+	"siskinrouter/internal/proxy"
 )
 
 // Experiment replaces single policies by simpler ones, so that measurements can compare them. The
@@ -19,6 +20,19 @@
 	// OnAdmission is called for every request that the rate limit admits, at some time between from
 	// and to. It is called on the path of requests and must not block.
 	OnAdmission func(workspace string, from, to time.Time)
+	// Without switches safety rules off. Only tests do so.
+	Without Rules
+}
+
+// Rules names safety rules that tests switch off, to show that their checks find the violation that each
+// rule prevents. The zero value keeps all rules.
+type Rules struct {
+	Proxy       proxy.Rules
+	LinkClosing bool // a link is closed after a failure
+	LoginKey    bool // the key is compared at login
+	KeyRecheck  bool // the key is checked again for each transaction and after each change
+	RateLimit   bool // requests are charged to the workspace
+	Blocking    bool // servers that are withdrawn or leave get no new work
 }
 
 // route returns the route as the experiment serves it.
--- a/internal/daemon/groups.go
+++ b/internal/daemon/groups.go
@@ -121,6 +121,7 @@
 		Credentials: link.Credentials{
 			User: d.settings.Target.User, Password: string(d.settings.Target.Password),
 			Database: cfg.Service, Client: d.settings.VM.Name, Dial: d.dial,
+			KeepBroken: d.experiment.Without.LinkClosing,
 		},
 		LocalDomain:    d.settings.VM.Domain,
 		ProbeInterval:  d.settings.Timings.ProbeInterval,
--- a/internal/daemon/policy.go
+++ b/internal/daemon/policy.go
@@ -50,7 +50,7 @@
 		workspace = route.Open
 	} else {
 		found, ok := s.keys.Find(workspace, key)
-		if !ok || found.Withdrawn {
+		if (!ok || found.Withdrawn) && !p.d.experiment.Without.LoginKey {
 			return nil, errKey(workspace, ok)
 		}
 		a.KeyID = found.ID
@@ -92,7 +92,7 @@
 	if err := p.d.admitsCallers(s); err != nil {
 		return nil, err
 	}
-	if s.generation == a.Generation {
+	if s.generation == a.Generation || p.d.experiment.Without.KeyRecheck {
 		return a, p.cutOff(a)
 	}
 	service, route, err := p.lookup(s, a.Database)
--- a/internal/daemon/rates.go
+++ b/internal/daemon/rates.go
@@ -103,6 +103,9 @@
 
 // admit charges one request, waiting a short time for tokens.
 func (r *rates) admit(ctx context.Context, w contract.Workspace) error {
+	if r.d.experiment.Without.RateLimit {
+		return nil
+	}
 	from := time.Now()
 	ok, wait, known := r.try(w.Name, true)
 	if ok {
--- a/internal/daemon/zones.go
+++ b/internal/daemon/zones.go
@@ -153,6 +153,9 @@
 
 // block tells every group which of its servers may get which work.
 func (z *zones) block() {
+	if z.d.experiment.Without.Blocking {
+		return
+	}
 	now := z.d.now()
 	for _, g := range z.d.groups.list() {
 		blocked := make(map[string]target.Block)
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -23,6 +23,8 @@
 	Client   string // application_name, the name of the VM
 	// Dial opens network connections; nil for the default.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// KeepBroken keeps links in their pool after a failure; set only by tests.
+	KeepBroken bool
 }
 
 // maxStatements bounds the prepared statements that a link keeps at its target.
@@ -41,6 +43,7 @@
 
 	statements map[string]struct{} // names of prepared statements that the target has
 	order      []string            // the same names, oldest first
+	keep       bool                // set only by tests
 	broken     bool
 	idleSince  time.Time
 	cancelled  atomic.Bool
@@ -60,6 +63,7 @@
 		secret:     hijacked.SecretKey,
 		dial:       cred.dialFunc(),
 		addr:       address,
+		keep:       cred.KeepBroken,
 		statements: make(map[string]struct{}),
 	}, nil
 }
@@ -150,7 +154,7 @@
 func (l *Link) Break() { l.broken = true }
 
 // Broken reports whether the link may not be used again.
-func (l *Link) Broken() bool { return l.broken || l.cancelled.Load() }
+func (l *Link) Broken() bool { return !l.keep && (l.broken || l.cancelled.Load()) }
 
 // Close closes the connection to the target.
 func (l *Link) Close() { _ = l.conn.Close() }
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -48,7 +48,7 @@
 // complete passes the answer on and releases the link if the transaction is over.
 func (c *callerSession) complete(x *relay) error {
 	c.openStatus = x.status
-	if x.status == 'I' {
+	if x.status == 'I' || c.srv.cfg.Without.OwnLink {
 		c.recording = ""
 		if x.r.read {
 			c.countRead(x.lease.Primary)
@@ -84,7 +84,7 @@
 	if deadline, ok := x.ctx.Deadline(); ok {
 		x.lease.SetDeadline(deadline)
 	}
-	if x.lease.Primary && !x.c.carriesToken {
+	if x.lease.Primary && !x.c.carriesToken && !x.c.srv.cfg.Without.PrimaryTerm {
 		x.verify = true
 		x.demand = x.r.access.Group.Demand()
 	}
@@ -107,7 +107,7 @@
 func (x *relay) linkError(err error) error {
 	v := verdict.MayHaveRun
 	state := verdict.StateUnknownResolution
-	if x.r.read {
+	if x.r.read || x.c.srv.cfg.Without.OpenOutcome {
 		v = verdict.NotRun
 		state = verdict.StateConnectionFailure
 	}
@@ -126,8 +126,10 @@
 	if !x.wrote {
 		return x.verifyTerm(ctx)
 	}
-	if err := x.r.access.Group.Confirm(ctx, x.position); err != nil {
-		return err
+	if !x.c.srv.cfg.Without.Confirmation {
+		if err := x.r.access.Group.Confirm(ctx, x.position); err != nil {
+			return err
+		}
 	}
 	x.c.srv.cfg.Metrics.Writes.Inc(1)
 	if x.position.Compare(x.c.floor) > 0 {
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -185,7 +185,10 @@
 		return err
 	}
 	c.setLease(lease)
-	if c.requestID != "" && lease.Primary && r.batch.runs() {
+	if c.srv.cfg.Without.KeySecrecy {
+		_, _ = c.lease.Simple("SET key = '" + c.key + "'") // the violation that tests look for
+	}
+	if c.requestID != "" && !c.srv.cfg.Without.RequestIDs && lease.Primary && r.batch.runs() {
 		return c.runRecorded(ctx, r)
 	}
 	return c.exchange(ctx, r)
@@ -210,7 +213,7 @@
 // session's last write was superseded and may lack the write.
 func (c *callerSession) acquirePrimary(ctx context.Context, r *request, w link.Waiter) (*target.Lease, error) {
 	lease, err := r.access.Group.AcquirePrimary(ctx, w)
-	if err != nil || lease.Term >= c.floor.Term {
+	if err != nil || lease.Term >= c.floor.Term || c.srv.cfg.Without.PrimaryTerm {
 		return lease, err
 	}
 	lease.Release()
@@ -222,6 +225,9 @@
 // readFloor returns the position that a read must see: the caller's own if it carries one, otherwise
 // that of the last write acknowledged in the group before the read arrived.
 func (c *callerSession) readFloor(ctx context.Context, r *request) (session.Position, error) {
+	if c.srv.cfg.Without.ReadFloor {
+		return session.Position{}, nil
+	}
 	if c.carriesToken {
 		return c.floor, nil
 	}
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -32,6 +32,7 @@
 	Clock          func() time.Duration
 	// ForwardCancel passes a cancel request of an unknown caller to the other VMs; may be nil.
 	ForwardCancel func(pid uint32, secret []byte)
+	Without       Rules // rules switched off; set only by tests
 }
 
 // Server accepts callers.
@@ -152,10 +153,12 @@
 	for _, c := range s.snapshot() {
 		c.end(reason, 0)
 	}
-	select {
-	case <-s.drained:
-		return 0
-	case <-ctx.Done():
+	if !s.cfg.Without.GracefulDrain {
+		select {
+		case <-s.drained:
+			return 0
+		case <-ctx.Done():
+		}
 	}
 	rest := s.snapshot()
 	for _, c := range rest {
--- a/internal/scenario/script_test.go
+++ b/internal/scenario/script_test.go
@@ -25,7 +25,7 @@
 	conditionPause = 50 * time.Millisecond
 	callTimeout    = 15 * time.Second
 	// scriptsAtOnce bounds the fleets that run side by side, because each is about ten processes.
-	scriptsAtOnce = 3
+	scriptsAtOnce = 4
 )
 
 var scriptSlots = make(chan struct{}, scriptsAtOnce)
--- a/internal/scenario/stale_test.go
+++ b/internal/scenario/stale_test.go
@@ -26,9 +26,9 @@
 }
 
 // newSplit starts a fleet. Its network is whole until cut is called.
-func newSplit(t *testing.T) *split {
+func newSplit(t *testing.T, d devfleet.Deployment) *split {
 	t.Helper()
-	s := &split{history: newHistory(t, 0, deployment())}
+	s := &split{history: newHistory(t, 0, d)}
 	s.old = s.fleet.Groups[0].Primary()
 	for _, vm := range s.fleet.VMs() {
 		if vm.Domain == s.old.Domain() {
@@ -81,7 +81,7 @@
 func TestSessionDoesNotReadFromFormerPrimary(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	s := newSplit(t)
+	s := newSplit(t, deployment())
 	first := s.session(t, s.away, "new")
 	_, err := runSQL(first, "PUT claim 1")
 	is.NoErr(err)
@@ -113,7 +113,7 @@
 func TestRepeatIsNotAnsweredByFormerPrimary(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	s := newSplit(t)
+	s := newSplit(t, deployment())
 	conn := s.session(t, s.home, "")
 	request := func() error {
 		if _, err := runSQL(conn, "SET siskinrouter.request_id = 'swap-1'"); err != nil {
