Check a withdrawal again after it is written

Cause: withdrawn failure domains and leaving targets are two objects, and each command checked majorities with the state of the other object before its own change. Before: TestOperatorsTogetherKeepMajorities: a failure domain withdrawal and a target leave at the same time both succeeded and left the group without a majority in service. After: at least one of them takes its order back and is refused.

--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -270,11 +270,17 @@
 	if err != nil {
 		return Change{}, err
 	}
-	check := func(orders zone.Orders) []zone.Shortage { return zone.CheckWithdraw(groups, orders, targets, name) }
+	check := func(domains, targets zone.Orders) []zone.Shortage {
+		return zone.CheckWithdraw(groups, domains, targets, name)
+	}
 	if !hasDomain(groups, name) && !c.knowsDomain(ctx, name) {
 		return Change{}, fmt.Errorf("failure domain %q is not in the operators' text", name)
 	}
-	return c.withdraw(ctx, catalog.NameDomains, "failure domain withdrawn", name, reason, confirmed, check)
+	w := withdrawal{
+		object: catalog.NameDomains, other: catalog.NameTargets, what: "failure domain withdrawn",
+		undone: "failure domain returned", name: name, reason: reason, confirmed: confirmed, check: check,
+	}
+	return c.withdraw(ctx, w, targets)
 }
 
 // ReturnDomain puts a failure domain back into service.
@@ -291,8 +297,14 @@
 	if !hasServer(groups, name) {
 		return Change{}, fmt.Errorf("server %q is not in the operators' text", name)
 	}
-	check := func(orders zone.Orders) []zone.Shortage { return zone.CheckLeave(groups, domains, orders, name) }
-	return c.withdraw(ctx, catalog.NameTargets, "target leaves", name, reason, confirmed, check)
+	check := func(targets, domains zone.Orders) []zone.Shortage {
+		return zone.CheckLeave(groups, domains, targets, name)
+	}
+	w := withdrawal{
+		object: catalog.NameTargets, other: catalog.NameDomains, what: "target leaves",
+		undone: "target joins", name: name, reason: reason, confirmed: confirmed, check: check,
+	}
+	return c.withdraw(ctx, w, domains)
 }
 
 // JoinTarget puts a server back into service.
@@ -300,19 +312,64 @@
 	return c.putBack(ctx, catalog.NameTargets, "target joins", name)
 }
 
-func (c *Client) withdraw(ctx context.Context, object, what, name, reason string, confirmed bool,
-	check func(zone.Orders) []zone.Shortage) (Change, error) {
-	return c.update(ctx, object, what, func(old []byte) ([]byte, string, error) {
+// withdrawal takes a failure domain or a server out of service.
+type withdrawal struct {
+	object, other string // names of the object to change and of the one with the other kind of orders
+	what, undone  string // for the audit trail
+	name          string
+	reason        string
+	confirmed     bool
+	check         func(orders, others zone.Orders) []zone.Shortage
+}
+
+// withdraw writes the order and checks again with the orders of the other object that are then in force.
+// Both objects cannot be changed in one update, but of two operators who change one each, at least one
+// sees the other's order afterwards and takes back the own one.
+func (c *Client) withdraw(ctx context.Context, w withdrawal, others zone.Orders) (Change, error) {
+	ch, err := c.update(ctx, w.object, w.what, func(old []byte) ([]byte, string, error) {
 		orders, err := zone.ParseOrders(old)
 		if err != nil {
 			return nil, "", err
 		}
-		if shortages := check(orders); len(shortages) > 0 && !confirmed {
+		if shortages := w.check(orders, others); len(shortages) > 0 && !w.confirmed {
 			return nil, "", &ShortageError{Shortages: shortages}
 		}
-		value, err := orders.Withdraw(name, zone.Order{By: c.by, Reason: reason, Confirmed: confirmed}).Encode()
-		return value, name + ": " + reason, err
+		value, err := orders.Withdraw(w.name, zone.Order{By: c.by, Reason: w.reason, Confirmed: w.confirmed}).Encode()
+		return value, w.name + ": " + w.reason, err
 	})
+	if err != nil || w.confirmed {
+		return ch, err
+	}
+	return ch, c.recheck(ctx, w)
+}
+
+// recheck takes an order back that leaves groups without a majority.
+func (c *Client) recheck(ctx context.Context, w withdrawal) error {
+	orders, err := c.orders(ctx, w.object)
+	if err != nil {
+		return fmt.Errorf("%s is ordered, but could not be checked again: %w", w.name, err)
+	}
+	others, err := c.orders(ctx, w.other)
+	if err != nil {
+		return fmt.Errorf("%s is ordered, but could not be checked again: %w", w.name, err)
+	}
+	shortages := w.check(orders, others)
+	if len(shortages) == 0 {
+		return nil
+	}
+	if _, err := c.putBack(ctx, w.object, w.undone, w.name); err != nil {
+		return fmt.Errorf("%s is ordered and could not be taken back: %w; %w", w.name, err, &ShortageError{Shortages: shortages})
+	}
+	return &ShortageError{Shortages: shortages}
+}
+
+// orders returns the orders of an object.
+func (c *Client) orders(ctx context.Context, object string) (zone.Orders, error) {
+	o, err := c.current(ctx, object)
+	if err != nil {
+		return zone.Orders{}, err
+	}
+	return zone.ParseOrders(o.Value)
 }
 
 func (c *Client) putBack(ctx context.Context, object, what, name string) (Change, error) {
@@ -335,11 +392,7 @@
 	if err != nil {
 		return nil, zone.Orders{}, err
 	}
-	o, err := c.current(ctx, object)
-	if err != nil {
-		return nil, zone.Orders{}, err
-	}
-	orders, err := zone.ParseOrders(o.Value)
+	orders, err := c.orders(ctx, object)
 	return zoneGroups(parsed(text.Value)), orders, err
 }
 
