--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -194,7 +194,7 @@
 		s, ok := got.Get(id)
 		is.True(ok)
 		is.Equal(s.Value, want)
-		is.True(strings.Contains(s.Command, "-propagation.size 2200"))
+		is.True(strings.Contains(s.Command, "-propagation.objects 4700 -propagation.size 2200"))
 	}
 	is.NoErr(os.WriteFile(log, []byte("ok"), 0o600))
 	_, err = Propagation(log)
--- a/internal/capacity/figures.go
+++ b/internal/capacity/figures.go
@@ -82,6 +82,8 @@
 			}},
 		{id: "statements.per_server", role: roleStatements, what: "statements of a server", unit: "/s", how: "19 million / 14,000",
 			value: func(c *calc) float64 { return c.Statements / c.Servers }},
+		{id: "statements.slot_time", role: roleStatements, what: "mean time that a statement may occupy one of the 3 slots of a server, a bound of the servers", unit: "ms", how: "3 / statements of a server",
+			value: func(c *calc) float64 { return 1000 * c.SlotsLow / c.figure("statements.per_server") }},
 		{id: "statements.per_workspace", role: roleStatements, what: "statements of a workspace", unit: "/s", how: "19 million / workspaces",
 			value: func(c *calc) float64 { return c.Statements / c.figure("workspaces") }},
 	}
@@ -104,7 +106,7 @@
 			how: "14,000 x server.idle", limit: &limitCPU, remedy: carrierSets,
 			value: func(c *calc) float64 { return cores(c.Servers * c.slope("server.idle")) }},
 		{id: "status.live", role: roleStatus, what: "processor time of copies of the VM list for link budgets (each server each second) and drivers (each group twice a second)", unit: "core",
-			how: "(14,000 + 2 x groups) x vm.live + 2 x groups x driver.peers", limit: &limitCPU, remedy: "one copy of the list per change of the membership; " + carrierSets,
+			how: "(14,000 + 2 x groups) x vm.live + 2 x groups x driver.peers", limit: &limitCPU, remedy: "pass the list on only when the membership changes; " + carrierSets,
 			value: func(c *calc) float64 {
 				groups := peersPerSecond * c.Groups()
 				return cores((c.Servers+groups)*c.slope("vm.live") + groups*c.slope("driver.peers"))
@@ -261,6 +263,8 @@
 			value: func(c *calc) float64 {
 				return loanMessageRate * (c.VMs - c.figure("shares.owners")) / c.figure("shares.owners")
 			}},
+		{id: "shares.owner_cpu", role: roleShares, what: "processor time of an owner to serve the Borrow requests of all VMs without slots at their limit", unit: "core", how: "served requests x borrow.cpu / 2", limit: &limitCPU, remedy: carrierOwners,
+			value: func(c *calc) float64 { return cores(c.figure("shares.per_owner") * c.slope("borrow.cpu") / 2) }},
 		{id: "shares.refused", role: roleShares, what: "refusals inside the rate on a VM without slots, 0.73 requests per second, idle lenders that answer at once", unit: "%", how: "loan.sparse_refused", limit: &limitRefusals,
 			value: func(c *calc) float64 { return c.slope("loan.sparse_refused") }},
 	}
@@ -325,6 +329,16 @@
 			value: func(c *calc) float64 {
 				return cores(c.figure("carrier.probes")*c.slope("probe.cpu") + c.figure("carrier.servers")*c.slope("server.idle"))
 			}}),
+		planned(spec{id: "carrier.live", what: "processor time of copies of the VM list and of drivers that take it over, as today", unit: "core", how: "(servers + 2 x groups of a VM) x vm.live + 2 x groups of a VM x driver.peers", limit: &limitCPU,
+			value: func(c *calc) float64 {
+				groups := peersPerSecond * c.figure("carrier.groups")
+				return cores((c.figure("carrier.servers")+groups)*c.slope("vm.live") + groups*c.slope("driver.peers"))
+			}}),
+		planned(spec{id: "carrier.list", what: "the same if the list is copied and drivers are told only when the membership changes, twice for each VM that fails or restarts", unit: "core", how: "2 x 1,430 per day x (vm.live + groups of a VM x driver.peers)", limit: &limitCPU,
+			value: func(c *calc) float64 {
+				changes := 2 * PerDay(c.RestartedVMs+c.FailedVMs)
+				return cores(changes * (c.slope("vm.live") + c.figure("carrier.groups")*c.slope("driver.peers")))
+			}}),
 		planned(spec{id: "carrier.memory", what: "live memory of the watched servers", unit: "B", how: "servers of a VM x server.memory", limit: &limitMemory,
 			value: func(c *calc) float64 { return c.figure("carrier.servers") * c.slope("server.memory") }}),
 		planned(spec{id: "carrier.loan_peers", what: "VMs with which a VM shares groups, its possible lenders", how: "groups of a VM x 5",
@@ -444,8 +458,12 @@
 
 func sumRemedy(id string) string {
 	switch id {
+	case "total.planned_cpu":
+		return "fewer timers where nothing waits; loans planned only when they are due (docs/notes/scale.md)"
 	case "total.planned_memory":
 		return "a VM keeps only the text and keys of services that it serves, next row"
+	case "total.planned_copies":
+		return "a list of VMs that is passed on when it changes, row before"
 	case "total.planned_most":
 		return "VMs that may hold watches carry no groups"
 	default:
@@ -463,8 +481,10 @@
 			"status.memory", "members.memory", "text.memory", "keys.memory", "catalog.memory", "shares.memory", "shares.peers", "audit.memory", "explain.memory"),
 		sum("total.bytes", "control bytes of a daemon today", "B/s", &limitBytes, false, 1,
 			"status.bytes", "fleet.bytes", "text.bytes", "shares.bytes"),
-		sum("total.planned_cpu", "control processor time with carrier sets and one object per service", "core", &limitCPU, true, 1,
-			"total.idle", "carrier.probe_cpu", "sync.cpu", "text.cpu_service", "carrier.loans", "explain.cpu"),
+		sum("total.planned_cpu", "control processor time with carrier sets, one object per service and a list of VMs that is passed on when it changes", "core", &limitCPU, true, 1,
+			"total.idle", "carrier.probe_cpu", "carrier.list", "sync.cpu", "text.cpu_service", "carrier.loans", "explain.cpu"),
+		sum("total.planned_copies", "control processor time with carrier sets and one object per service, VM lists copied as today", "core", &limitCPU, true, 1,
+			"total.idle", "carrier.probe_cpu", "carrier.live", "sync.cpu", "text.cpu_service", "carrier.loans", "explain.cpu"),
 		sum("total.planned_memory", "control memory with carrier sets and one object per service, whole texts and keys still held", "B", &limitMemory, true, garbageFactor,
 			"carrier.memory", "members.memory", "text.memory", "keys.memory", "catalog.memory", "audit.memory", "explain.memory"),
 		sum("total.planned_slim", "control memory with carrier sets, without the texts and keys of services that the VM does not carry", "B", &limitMemory, true, garbageFactor,
--- a/internal/capacity/measure.go
+++ b/internal/capacity/measure.go
@@ -167,7 +167,7 @@
 	{"propagation.large_worst", "s", "driven time until a change of 1 MB is in force everywhere, worst"},
 	{"propagation.small_median", "B/s", "bytes of a VM with changes of 2 KB, median VM"},
 	{"propagation.small_most", "B/s", "the same, most loaded VM"},
-	{"propagation.large_median", "B/s", "bytes of a VM with changes of 1 MB in every third object, median VM"},
+	{"propagation.large_median", "B/s", "bytes of a VM with changes of 1 MB in two of three changes, median VM"},
 	{"propagation.large_most", "B/s", "the same, most loaded VM"},
 	{"propagation.calls", "/s", "calls between VMs that a VM makes and serves"},
 	{"propagation.platform", "/s", "platform calls of the fleet, mean"},
--- a/internal/capacity/model.go
+++ b/internal/capacity/model.go
@@ -27,7 +27,6 @@
 	auditBuffer          = 1024.0  // daemon.auditBuffer
 	auditKept            = 10000.0 // audit.DefaultRecords
 	controlStatements    = 6.0     // of a change of primary: 3 fence, 1 promote, 2 follow
-	publishCalls         = 2.0     // platform calls of groups/GROUP: one read, one write
 	defaultCallers       = 10000.0 // limits.max_connections
 	base64Growth         = 4.0 / 3 // of values in the platform's JSON
 	garbageFactor        = 2.0     // heap in use relative to the live heap with GOGC=100
--- a/internal/capacity/page.go
+++ b/internal/capacity/page.go
@@ -19,8 +19,8 @@
 func (m *Model) Page() (string, error) {
 	t, err := template.New("page").Funcs(template.FuncMap{
 		"value":      m.value,
-		"limit":      m.limit,
 		"margin":     m.margin,
+		"high":       m.high,
 		"slope":      m.slope,
 		"table":      m.table,
 		"slopes":     m.slopeTable,
@@ -67,16 +67,26 @@
 	return format(f.Value, f.Unit), err
 }
 
-func (m *Model) limit(id string) (string, error) {
-	f, err := m.Get(id)
-	return format(f.Limit, f.Unit), err
-}
-
 func (m *Model) margin(id string) (string, error) {
 	f, err := m.Get(id)
 	return f.Margin(), err
 }
 
+// high returns a figure and its margin with every slope at the high end of its spread.
+func (m *Model) high(id string) (string, error) {
+	slopes := *m.Slopes
+	slopes.Slopes = slices.Clone(m.Slopes.Slopes)
+	for i := range slopes.Slopes {
+		slopes.Slopes[i].Value = slopes.Slopes[i].High
+	}
+	worst, err := NewModel(m.Plan, &slopes)
+	if err != nil {
+		return "", err
+	}
+	f, err := worst.Get(id)
+	return fmt.Sprintf("%s (%s)", format(f.Value, f.Unit), f.Margin()), err
+}
+
 func (m *Model) slope(id string) (string, error) {
 	s, ok := m.Slopes.Get(id)
 	if !ok {
--- a/internal/capacity/plan.go
+++ b/internal/capacity/plan.go
@@ -27,9 +27,9 @@
 	PlatformValue     float64 // bytes of one object
 	ConnectionsLow    float64 // connections that a server accepts, smallest described deployment
 	ConnectionsHigh   float64 // the same, largest described deployment
+	SlotsLow          float64 // statements that a server runs at once, smallest described deployment
 	GroupsPerService  float64
 	WorkspacesService float64
-	Cores             float64 // of a VM; the page does not state it
 	Carriers          float64 // VMs per group that would open connections to its servers
 	HopMillis         float64 // one-way latency between failure domains, upper of the two deployments
 }
@@ -44,7 +44,7 @@
 		ControlCPU: 0.05, ControlMemory: 32e6, ControlBytes: 23e3, FailedVMs: 30, RestartedVMs: 1400,
 		PlatformWrites: 300, PlatformReads: 2000, PlatformValue: 1 << 20,
 		ConnectionsLow: 20, ConnectionsHigh: 50, GroupsPerService: 3, WorkspacesService: 8,
-		Cores: 4, Carriers: 6, HopMillis: 1.5,
+		SlotsLow: 3, Carriers: 6, HopMillis: 1.5,
 	}
 }
 
--- a/internal/capacity/propagation.go
+++ b/internal/capacity/propagation.go
@@ -10,7 +10,7 @@
 
 // propagationCommand makes the log that Propagation reads. SIZE is the size of the changed objects in bytes.
 const propagationCommand = "go test ./internal/fleet -count=1 -run 'TestPropagation$' -v -args -propagation.vms %s " +
-	"-propagation.objects %s -propagation.size %s -propagation.duration 90s > LOG; siskinrouter capacity measure --propagation LOG"
+	"-propagation.objects %d -propagation.size %s -propagation.duration 90s > LOG; siskinrouter capacity measure --propagation LOG"
 
 var (
 	sizePattern  = regexp.MustCompile(`(\d+) VMs, (\d+) objects, changed objects of (\d+) bytes`)
@@ -36,7 +36,12 @@
 		}
 		groups = append(groups, m[1:])
 	}
-	command := fmt.Sprintf(propagationCommand, groups[0][0], groups[0][1], groups[0][2])
+	objects, err := strconv.Atoi(groups[0][1])
+	if err != nil {
+		return nil, err
+	}
+	// The test adds the objects contract and keys to the number that it is given.
+	command := fmt.Sprintf(propagationCommand, groups[0][0], objects-2, groups[0][2])
 	size, err := strconv.Atoi(groups[0][2])
 	if err != nil {
 		return nil, err
