--- a/internal/cli/inspect.go
+++ b/internal/cli/inspect.go
@@ -64,8 +64,8 @@
 }
 
 func (e *env) explainCommand() *ffcli.Command {
-	return e.inspectCommand("explain", "siskinrouter explain [flags] ID",
-		"Say why a request was refused, routed or repeated.", 1,
+	return e.inspectCommand("explain", "siskinrouter explain [flags] ID|GROUP",
+		"Say why a request was refused or repeated, or why the primary of a group changed.", 1,
 		func(ctx context.Context, admin string, args []string) error {
 			var lines []string
 			if err := fetch(ctx, admin, "/explain?id="+url.QueryEscape(args[0]), &lines); err != nil {
--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -11,6 +11,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"siskinrouter/internal/catalog"
 	"siskinrouter/internal/machine"
 )
 
@@ -43,8 +44,12 @@
 	_ = json.NewEncoder(w).Encode(v)
 }
 
-// explain returns the explanation of a request from the VM that its id names.
+// explain says why the primary of a group changed if id is the name of a group. Otherwise it returns the
+// explanation of a request from the VM that the id names.
 func (d *Daemon) explain(ctx context.Context, id string) ([]string, error) {
+	if d.groups.get(id) != nil {
+		return d.explainPrimary(id)
+	}
 	name := vmOf(id)
 	if name == d.self.Name {
 		if lines, ok := d.explanations.Get(id); ok {
@@ -68,6 +73,24 @@
 	return lines, nil
 }
 
+// explainPrimary returns the published outcome of the last change of a group's primary.
+func (d *Daemon) explainPrimary(group string) ([]string, error) {
+	o, ok := d.config.get(catalog.PrefixGroups + group)
+	if !ok {
+		return []string{"the primary of group " + group + " has not changed since the group was set up"}, nil
+	}
+	var p published
+	if err := json.Unmarshal(o.Value, &p); err != nil {
+		return nil, fmt.Errorf("object %s: %w", o.Name, err)
+	}
+	return []string{
+		fmt.Sprintf("group %s: %s became primary in term %d", group, p.Primary, p.Term),
+		"cause: " + p.Cause,
+		"evidence: " + p.Evidence,
+		"driver: " + p.Driver,
+	}, nil
+}
+
 // vmOf returns the name of the VM that issued a request id.
 func vmOf(id string) string {
 	i := strings.LastIndexByte(id, '-')
