Keep the outcome of a request open after an attempt that may have run

Cause: a request that was sent again reported the verdict of its last attempt only. Before: TestOpenAttemptKeepsOutcomeOpen: 'not run' for a write that had committed. After: 'may have run'.

--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -277,9 +277,9 @@
 }
 
 // refusal returns the verdict after the target refused a statement. Its transaction is rolled back, but
-// an earlier part of the batch may have committed by itself.
+// an earlier part of the batch may have committed by itself, and an earlier attempt may have run.
 func (x *relay) refusal() verdict.Verdict {
-	if x.ended {
+	if x.ended || x.r.open {
 		return verdict.MayHaveRun
 	}
 	return verdict.NotRun
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -24,6 +24,7 @@
 	first   bool            // it starts a transaction
 	exclude map[string]bool // servers that failed it
 	attempt int
+	open    bool  // the outcome of an attempt is not known
 	flushed bool  // a part of the answer has been sent to the caller
 	sent    int64 // bytes that reached a target in the last attempt
 }
@@ -129,8 +130,9 @@
 			return err
 		}
 		e := asVerdict(err, verdict.MayHaveRun, verdict.StateUnknownResolution)
+		r.open = r.open || e.Verdict == verdict.MayHaveRun
 		if !c.mayRetry(ctx, r, e) {
-			return c.refuseBatch(r.batch, e)
+			return c.refuseBatch(r.batch, r.final(e))
 		}
 		c.srv.cfg.Metrics.Retries.Inc(1)
 		r.attempt++
@@ -138,6 +140,16 @@
 	}
 }
 
+// final returns the refusal of the request after its last attempt ended with e. An earlier attempt with an
+// open outcome keeps the outcome of the request open.
+func (r *request) final(e *verdict.Error) *verdict.Error {
+	if !r.open || e.Verdict != verdict.NotRun {
+		return e
+	}
+	return verdict.Errorf(verdict.MayHaveRun, verdict.StateUnknownResolution,
+		"an earlier attempt may have run, and the last one failed: %s", e.Reason)
+}
+
 // mayRetry reports whether r may be sent again after e. A write that the former primary refused waits for
 // the new one until its deadline; that adds no load, so it is not charged to the retry budget.
 func (c *callerSession) mayRetry(ctx context.Context, r *request, e *verdict.Error) bool {
--- a/internal/scenario/stale_test.go
+++ b/internal/scenario/stale_test.go
@@ -248,3 +248,39 @@
 		})
 	}
 }
+
+// answerDelay is long enough to act before an answer arrives, and shorter than the time after which the
+// primary is suspected.
+const answerDelay = 250 * time.Millisecond
+
+// Guards against "not run" for a request whose first attempt may have run: it is sent again because it has
+// an id, and the last attempt finds no primary.
+func TestOpenAttemptKeepsOutcomeOpen(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newSplit(t, deployment())
+	conn := s.session(t, s.home, "")
+	_, err := runSQL(conn, "SET siskinrouter.request_id = 'swap-1'")
+	is.NoErr(err)
+	s.old.SetAnswerDelay(answerDelay)
+	result := make(chan error, 1)
+	go func() {
+		_, err := runSQL(conn, "ADD swap 1")
+		result <- err
+	}()
+	for start := time.Now(); time.Since(start) < conditionLimit; time.Sleep(answerDelay / 50) {
+		if _, ok := s.old.Value("swap"); ok {
+			break // the write has committed, and its answer is on the way
+		}
+	}
+	for _, server := range s.fleet.Groups[0].Servers() {
+		server.Kill()
+	}
+	err = <-result
+	t.Logf("refusal: %v", err)
+	is.True(err != nil)
+	is.Equal(verdictOf(err), verdict.MayHaveRun)
+	for _, server := range s.fleet.Groups[0].Servers() {
+		is.NoErr(server.Restart())
+	}
+}
