--- a/internal/scenario/rules_test.go
+++ b/internal/scenario/rules_test.go
@@ -193,9 +193,9 @@
 	return ""
 }
 
-// withinSeconds is how long a change of operators may take to be in force. The goals say "within
+// changeLimit is how long a change of operators may take to be in force. The goals say "within
 // seconds"; the planned size allows 16 s.
-const withinSeconds = 5 * time.Second
+const changeLimit = 5 * time.Second
 
 func (r *trial) withdrawnKey() string {
 	conn := r.caller(r.home, "")
@@ -204,13 +204,13 @@
 		r.t.Fatal(err)
 	}
 	start := time.Now()
-	for time.Since(start) < withinSeconds {
+	for time.Since(start) < changeLimit {
 		if _, err := runSQL(conn, "SELECT 1"); err != nil {
 			return ""
 		}
 		time.Sleep(conditionPause)
 	}
-	return fmt.Sprintf("a connected caller works %v after its key was withdrawn", withinSeconds)
+	return fmt.Sprintf("a connected caller works %v after its key was withdrawn", changeLimit)
 }
 
 func (r *trial) overRate() string {
@@ -255,7 +255,7 @@
 	if err := change(); err != nil {
 		r.t.Fatal(err)
 	}
-	time.Sleep(withinSeconds)
+	time.Sleep(changeLimit)
 	before := s.Counts()["GET"]
 	served := 0
 	for _, vm := range r.fleet.VMs() {
--- a/internal/scenario/script_test.go
+++ b/internal/scenario/script_test.go
@@ -57,7 +57,6 @@
 	floods map[string]*flood
 	remote map[string]chan outcome
 	fleet  *scriptFleet
-	names  int
 }
 
 // op is a script command that can fail, which "!" expects, and that can be repeated by "eventually".
