Refuse writes on read routes also when the primary serves them

Cause: nothing kept a statement on a read route from writing when the primary served it, and such a request counted as repeatable and as not run after a failure. Reads now run in read-only mode on every target; the mode is set in the same exchange as the first statement after a change. Before: PUT took effect. The periodic check of the platform reads a small object instead of the operators' text.

--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -198,7 +198,8 @@
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	started := m.d.now()
-	o, err := m.d.store.Get(ctx, catalog.NameContract)
+	// The object of failure domains is small; the operators' text would cost up to 1 MB for each call.
+	o, err := m.d.store.Get(ctx, catalog.NameDomains)
 	if err != nil && !errors.Is(err, platform.ErrNotFound) {
 		m.d.counters.platformFailures.Inc(1)
 		return
--- a/internal/devtarget/conn.go
+++ b/internal/devtarget/conn.go
@@ -27,15 +27,16 @@
 
 // conn is one client connection. Its goroutine handles one message after the other.
 type conn struct {
-	s       *Server
-	nc      net.Conn
-	backend *pgproto3.Backend
-	ctx     context.Context
-	cancel  context.CancelCauseFunc
-	app     string
-	pid     uint32
-	key     uint32
-	counted bool // occupies the connection limit
+	readOnly bool // default_transaction_read_only
+	s        *Server
+	nc       net.Conn
+	backend  *pgproto3.Backend
+	ctx      context.Context
+	cancel   context.CancelCauseFunc
+	app      string
+	pid      uint32
+	key      uint32
+	counted  bool // occupies the connection limit
 
 	running context.CancelCauseFunc // cancels the running statement; guarded by Server.mu
 
--- a/internal/devtarget/execute.go
+++ b/internal/devtarget/execute.go
@@ -45,6 +45,7 @@
 		c.rollback()
 		return result{tag: "ROLLBACK"}, nil
 	case kindSet:
+		c.set(stmt.setting)
 		return result{tag: "SET"}, nil
 	}
 	ctx, cancel := c.startStatement()
@@ -75,10 +76,20 @@
 func (c *conn) openTx(implicit bool) {
 	c.s.mu.Lock()
 	defer c.s.mu.Unlock()
-	c.tx = &tx{implicit: implicit, written: map[string]string{}, commit: Commit{Client: c.app}}
+	c.tx = &tx{implicit: implicit, readOnly: c.readOnly, written: map[string]string{}, commit: Commit{Client: c.app}}
 	c.s.txs[c.tx] = struct{}{}
 }
 
+// set changes the mode of the transactions that start on this connection.
+func (c *conn) set(setting string) {
+	switch setting {
+	case "default_transaction_read_only=on":
+		c.readOnly = true
+	case "default_transaction_read_only=off":
+		c.readOnly = false
+	}
+}
+
 func (c *conn) begin(stmt statement) error {
 	switch {
 	case c.tx == nil:
@@ -87,7 +98,7 @@
 		return refuse("25001", "a transaction is already open")
 	}
 	c.tx.implicit = false
-	c.tx.readOnly = stmt.readOnly
+	c.tx.readOnly = (c.readOnly && !stmt.readWrite) || stmt.readOnly
 	return nil
 }
 
--- a/internal/devtarget/statement.go
+++ b/internal/devtarget/statement.go
@@ -23,7 +23,7 @@
 	kindRows     kind = "ROWS"
 	kindSleep    kind = "SLEEP"
 	kindSelect1  kind = "SELECT 1"
-	kindSet      kind = "SET" // SET, RESET, DISCARD and DEALLOCATE, accepted without effect
+	kindSet      kind = "SET" // SET, RESET, DISCARD and DEALLOCATE; only default_transaction_read_only has an effect
 	kindRequest  kind = "group_request"
 	kindOutcome  kind = "group_outcome"
 	kindStatus   kind = "group_status"
@@ -36,9 +36,11 @@
 // statement is a parsed statement. An argument of the form $n is a parameter unless it was
 // quoted.
 type statement struct {
-	kind     kind
-	args     []argument
-	readOnly bool // BEGIN READ ONLY
+	kind      kind
+	args      []argument
+	readOnly  bool   // BEGIN READ ONLY
+	readWrite bool   // BEGIN READ WRITE
+	setting   string // name and value of SET default_transaction_read_only, in lower case without spaces
 }
 
 type argument struct {
@@ -140,13 +142,16 @@
 	rest = strings.TrimSpace(rest)
 	switch strings.ToUpper(word) {
 	case "BEGIN", "START":
-		return statement{kind: kindBegin, readOnly: strings.Contains(strings.ToUpper(rest), "READ ONLY")}, nil
+		mode := strings.ToUpper(rest)
+		return statement{
+			kind: kindBegin, readOnly: strings.Contains(mode, "READ ONLY"), readWrite: strings.Contains(mode, "READ WRITE"),
+		}, nil
 	case "COMMIT", "END":
 		return statement{kind: kindCommit}, nil
 	case "ROLLBACK", "ABORT":
 		return statement{kind: kindRollback}, nil
 	case "SET", "RESET", "DISCARD", "DEALLOCATE":
-		return statement{kind: kindSet}, nil
+		return statement{kind: kindSet, setting: strings.ToLower(strings.ReplaceAll(rest, " ", ""))}, nil
 	case "SHOW":
 		if rest == string(kindStatus) {
 			return statement{kind: kindStatus}, nil
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -45,6 +45,7 @@
 	order      []string            // the same names, oldest first
 	keep       bool                // set only by tests
 	broken     bool
+	readOnly   bool // mode of the transactions that start on the link
 	idleSince  time.Time
 	cancelled  atomic.Bool
 }
@@ -178,6 +179,20 @@
 	return nil
 }
 
+// QueueMode queues the statement that makes the transactions that start from now on read-only, or not. It
+// returns the statement, whose answer ReceiveSimple reads, or an empty string if the link has the mode.
+func (l *Link) QueueMode(readOnly bool) (string, error) {
+	if l.readOnly == readOnly {
+		return "", nil
+	}
+	l.readOnly = readOnly
+	statement := "SET default_transaction_read_only = off"
+	if readOnly {
+		statement = "SET default_transaction_read_only = on"
+	}
+	return statement, l.QueueSimple(statement)
+}
+
 // Has reports whether the target has a prepared statement of this name.
 func (l *Link) Has(name string) bool {
 	_, ok := l.statements[name]
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -89,7 +89,7 @@
 		x.demand = x.r.access.Group.Demand()
 	}
 	x.r.sent = int64(len(x.r.batch.buf))
-	if err := x.sendAll(); err != nil {
+	if err := x.sendInMode(); err != nil {
 		return x.linkError(err)
 	}
 	if err := x.receiveAll(); err != nil {
@@ -103,6 +103,23 @@
 	return x.confirm()
 }
 
+// sendInMode sends the batch. A transaction of a read starts in read-only mode on every server, because a
+// replica may have become the primary since it was chosen.
+func (x *relay) sendInMode() error {
+	mode := ""
+	if x.r.first {
+		var err error
+		if mode, err = x.lease.QueueMode(x.r.read); err != nil {
+			return err
+		}
+	}
+	if err := x.sendAll(); err != nil || mode == "" {
+		return err
+	}
+	_, err := x.lease.ReceiveSimple(mode)
+	return err
+}
+
 // linkError returns the verdict after the link failed. What was sent may have run, unless it was a read.
 func (x *relay) linkError(err error) error {
 	v := verdict.MayHaveRun
@@ -260,7 +277,7 @@
 	if m.Severity == "FATAL" || m.Severity == "PANIC" {
 		return x.linkError(fmt.Errorf("%s (SQLSTATE %s)", m.Message, m.Code))
 	}
-	if m.Code == verdict.StateReadOnly && x.lease.Primary && x.r.first && !x.r.flushed && !x.ended {
+	if m.Code == verdict.StateReadOnly && x.lease.Primary && !x.r.read && x.r.first && !x.r.flushed && !x.ended {
 		return verdict.Errorf(verdict.NotRun, verdict.StateReadOnly,
 			"target %s is no longer the primary: %s", x.lease.Server, m.Message)
 	}
--- a/internal/proxy/record.go
+++ b/internal/proxy/record.go
@@ -70,9 +70,9 @@
 		"a request id needs a single statement, or an explicit transaction whose statements are sent one by one")
 }
 
-// recordStatements open a transaction and record the request id in it.
+// recordStatements open a transaction that may write and record the request id in it.
 func recordStatements(id string) []string {
-	return []string{"BEGIN", fmt.Sprintf("SELECT group_request('%s')", id)}
+	return []string{"BEGIN READ WRITE", fmt.Sprintf("SELECT group_request('%s')", id)}
 }
 
 func (c *callerSession) beginRecorded(id string) (outcome, error) {
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -200,7 +200,7 @@
 	if c.srv.cfg.Without.KeySecrecy {
 		_, _ = c.lease.Simple("SET key = '" + c.key + "'") // the violation that tests look for
 	}
-	if c.requestID != "" && !c.srv.cfg.Without.RequestIDs && lease.Primary && r.batch.runs() {
+	if c.requestID != "" && !c.srv.cfg.Without.RequestIDs && lease.Primary && !r.read && r.batch.runs() {
 		return c.runRecorded(ctx, r)
 	}
 	return c.exchange(ctx, r)
