--- a/internal/bench/scenario.go
+++ b/internal/bench/scenario.go
@@ -221,10 +221,10 @@
 	}
 	r.event("failure domain %s is withdrawn", domain)
 	r.sleepUntil(2 * r.duration / 3)
+	r.stopWatch(r.load.now()) // before the return, which takes effect while the command still runs
 	if _, err := r.fleet.Operator.ReturnDomain(r.load.ctx, domain); err != nil {
 		return err
 	}
-	r.stopWatch(r.load.now())
 	r.event("failure domain %s is returned", domain)
 	return nil
 }
