Let the demo wait while a group has no primary

Cause: the demo asked for the failure domain of the primary while a planned move left none for a moment. Before: TestEveryStepIsObserved panicked once in a run beside other tests. After: the step waits for the next primary.

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -242,7 +242,10 @@
 		return "", err
 	}
 	start := time.Now()
-	err := until(ctx, func() bool { return r.group.Primary().Domain() != domain })
+	err := until(ctx, func() bool {
+		p := r.group.Primary() // nil while the primary moves
+		return p != nil && p.Domain() != domain
+	})
 	if err != nil {
 		return "", fmt.Errorf("the primary did not leave %s: %w", domain, err)
 	}
