Serve reads from the primary without proving a term that was never set

Cause: a read that fell back to the primary carried term 0, so the proof that no later term existed failed, the link was closed and the read was repeated until a replica had caught up or its time was over. Reads are given a server that reaches their floor, which needs no proof of the term. TestLaggingReplicasLeaveReadsToThePrimary fails without the change.

--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -84,7 +84,8 @@
 	if deadline, ok := x.ctx.Deadline(); ok {
 		x.lease.SetDeadline(deadline)
 	}
-	if x.lease.Primary && !x.c.carriesToken && !x.c.srv.cfg.Without.PrimaryTerm {
+	// A read was given a server that reaches its floor, whichever role it has; it needs no proof of a term.
+	if x.lease.Primary && !x.r.read && !x.c.carriesToken && !x.c.srv.cfg.Without.PrimaryTerm {
 		x.verify = true
 		x.demand = x.r.access.Group.Demand()
 	}
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -411,3 +411,19 @@
 	is.Equal(get(t, conn, "n"), "2")
 	is.Equal(old.Counts()["ADD"], int64(2)) // the isolated primary had executed the lost write
 }
+
+// Guards against reads that cannot be served by the primary while the replicas lag: with a wrong term they
+// were repeated until their time limit.
+func TestLaggingReplicasLeaveReadsToThePrimary(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, func(s *devtarget.ServerConfig) { s.Lag = 10 * time.Second })
+	v := f.vm("a")
+	writer, reader := f.connect(v, "ledger", nil), f.connect(v, "ledger.lookup", nil)
+	for i := range 20 {
+		want := fmt.Sprint(i)
+		exec(t, writer, "PUT k "+want)
+		is.Equal(get(t, reader, "k"), want)
+	}
+	is.Equal(v.server.cfg.Metrics.Retries.Count(), int64(0))
+	is.Equal(f.targets.Primary().Counts()["GET"], int64(20))
+}
--- a/internal/target/group.go
+++ b/internal/target/group.go
@@ -256,7 +256,7 @@
 type Lease struct {
 	*link.Grant
 	Primary bool
-	Term    uint64 // term of the primary; 0 for a replica
+	Term    uint64 // term that the server had promised when it was chosen
 }
 
 // AcquirePrimary waits for the group to have a primary that may get new work and for a link to it.
@@ -331,14 +331,14 @@
 		exclude[name] = true
 	}
 	for {
-		name, role, err := g.awaitReader(ctx, q, exclude)
+		name, role, term, err := g.awaitReader(ctx, q, exclude)
 		if err != nil {
 			return nil, err
 		}
 		attempt := w
 		grant, err := g.servers[name].pool.Acquire(ctx, &attempt)
 		if err == nil {
-			return &Lease{Grant: grant, Primary: role == routing.Primary}, nil
+			return &Lease{Grant: grant, Primary: role == routing.Primary, Term: term}, nil
 		}
 		if ctx.Err() != nil || !isConnectError(err) {
 			return nil, err
@@ -347,7 +347,7 @@
 	}
 }
 
-func (g *Group) awaitReader(ctx context.Context, q Read, exclude map[string]bool) (name string, role routing.Role, err error) {
+func (g *Group) awaitReader(ctx context.Context, q Read, exclude map[string]bool) (name string, role routing.Role, term uint64, err error) {
 	var reason error
 	err = g.await(ctx, func() bool {
 		name, reason = g.view.Read(g.cfg.Clock(), routing.ReadRequest{
@@ -362,12 +362,13 @@
 		}
 		st, _, _ := g.view.Status(name)
 		role = st.Role
+		term = st.PromisedTerm
 		return true
 	})
 	if err == nil && reason == nil {
-		return name, role, nil
+		return name, role, term, nil
 	}
-	return "", "", verdict.Errorf(verdict.NotRun, verdict.StateCannotConnectNow, "group %s: %w", g.Name(), reason)
+	return "", "", 0, verdict.Errorf(verdict.NotRun, verdict.StateCannotConnectNow, "group %s: %w", g.Name(), reason)
 }
 
 // unreadable adds the servers that may not get reads to exclude. The lock is held.
