Send requests away from a former primary that is cut off

Cause: requests that waited for a link to an isolated primary, or for its answer, stayed there until their time limit although a successor served after half a second; a request with an id whose link failed was refused instead of waiting. Waiting requests are now sent away when the primary changes, links to a silent server that is not the primary are closed, and a write that did not run waits for the new primary outside of the retry budget.

--- a/internal/daemon/queue.go
+++ b/internal/daemon/queue.go
@@ -75,6 +75,21 @@
 	}
 }
 
+// Clear implements link.Queue.
+func (q *fairQueue) Clear() []*link.Waiter {
+	all := q.shed
+	q.shed = nil
+	for id, w := range q.waiters {
+		if q.queue.Cancel(id) {
+			all = append(all, w)
+		}
+	}
+	for _, w := range all {
+		q.forget(w)
+	}
+	return all
+}
+
 // Resize implements link.Queue.
 func (q *fairQueue) Resize(links int) { q.queue.SetSlots(links) }
 
--- a/internal/link/fifo.go
+++ b/internal/link/fifo.go
@@ -50,5 +50,12 @@
 // Release does nothing, because a FIFO keeps no account of service.
 func (q *FIFO) Release(time.Time, *Waiter, time.Duration) {}
 
+// Clear removes and returns all waiters.
+func (q *FIFO) Clear() []*Waiter {
+	all := q.waiters
+	q.waiters = nil
+	return all
+}
+
 // Resize does nothing, because the pool itself bounds the links in use.
 func (q *FIFO) Resize(int) {}
--- a/internal/link/pool.go
+++ b/internal/link/pool.go
@@ -25,6 +25,8 @@
 	Pop(now time.Time) (next *Waiter, shed []*Waiter)
 	// Remove drops a waiter that gave up.
 	Remove(w *Waiter)
+	// Clear removes and returns all waiters.
+	Clear() []*Waiter
 	// Resize changes how many requests may hold a link at once.
 	Resize(links int)
 	// Release records the end of a request and how long it held its link.
@@ -43,6 +45,7 @@
 	limit  int
 	used   int // requests that hold a link or open one
 	idle   []*Link
+	inUse  map[*Link]struct{}
 	closed bool
 }
 
@@ -59,7 +62,10 @@
 	if queue == nil {
 		queue = NewFIFO(defaultFIFOSize)
 	}
-	return &Pool{server: server, address: address, cred: cred, limit: limit, dial: dialTimeout, queue: queue}
+	return &Pool{
+		server: server, address: address, cred: cred, limit: limit, dial: dialTimeout, queue: queue,
+		inUse: make(map[*Link]struct{}),
+	}
 }
 
 // Acquire returns a link for w, waiting until its turn comes. Every failure has the verdict NotRun.
@@ -128,14 +134,17 @@
 
 // take hands an idle link to w or opens one.
 func (p *Pool) take(ctx context.Context, w *Waiter) (*Grant, error) {
-	if l := p.popIdle(); l != nil {
-		return &Grant{Link: l, pool: p, waiter: w, since: time.Now()}, nil
-	}
-	l, err := p.open(ctx)
-	if err != nil {
-		p.finish(w, 0)
-		return nil, err
+	l := p.popIdle()
+	if l == nil {
+		var err error
+		if l, err = p.open(ctx); err != nil {
+			p.finish(w, 0)
+			return nil, err
+		}
 	}
+	p.mu.Lock()
+	p.inUse[l] = struct{}{}
+	p.mu.Unlock()
 	return &Grant{Link: l, pool: p, waiter: w, since: time.Now()}, nil
 }
 
@@ -185,6 +194,7 @@
 
 func (p *Pool) putIdle(l *Link) {
 	p.mu.Lock()
+	delete(p.inUse, l)
 	keep := !l.Broken() && !p.closed && len(p.idle) < p.limit
 	if keep {
 		l.SetDeadline(time.Time{})
@@ -226,6 +236,25 @@
 	}
 }
 
+// Dismiss sends the waiting requests away with the verdict NotRun, so that they choose a server anew.
+func (p *Pool) Dismiss(cause error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, w := range p.queue.Clear() {
+		w.ready <- verdict.Errorf(verdict.NotRun, verdict.StateConnectionFailure,
+			"the request did not start on target %s: %w", p.server, cause)
+	}
+}
+
+// Interrupt closes the links in use. Requests on them fail with the verdict that their progress allows.
+func (p *Pool) Interrupt() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for l := range p.inUse {
+		l.Close()
+	}
+}
+
 // Close refuses further requests and closes idle links. Requests that hold a link keep it.
 func (p *Pool) Close() {
 	p.mu.Lock()
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -136,7 +136,9 @@
 		}
 		c.srv.cfg.Metrics.Retries.Inc(1)
 		r.attempt++
-		pause(ctx, e)
+		if waitsForPrimary(r, e) {
+			pause(ctx)
+		}
 	}
 }
 
@@ -156,7 +158,7 @@
 	if ctx.Err() != nil || r.flushed {
 		return false
 	}
-	if e.Verdict == verdict.NotRun && e.SQLState == verdict.StateReadOnly {
+	if waitsForPrimary(r, e) {
 		return true
 	}
 	if !retryable(e) {
@@ -170,14 +172,20 @@
 	return decision == retry.Elsewhere
 }
 
+// waitsForPrimary reports whether a request did not run because its group is changing the primary. Such
+// attempts are spaced by primaryPause, so they cause no storm.
+func waitsForPrimary(r *request, e *verdict.Error) bool {
+	if e.Verdict != verdict.NotRun {
+		return false
+	}
+	return e.SQLState == verdict.StateReadOnly || !r.read && e.SQLState == verdict.StateConnectionFailure
+}
+
 // primaryPause is the time between attempts while a group changes its primary.
 const primaryPause = 10 * time.Millisecond
 
 // pause waits before another attempt when the view of the group has to catch up.
-func pause(ctx context.Context, e *verdict.Error) {
-	if e.SQLState != verdict.StateReadOnly {
-		return
-	}
+func pause(ctx context.Context) {
 	select {
 	case <-ctx.Done():
 	case <-time.After(primaryPause):
--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -89,6 +89,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.busy = c.lease != nil
+	if !c.busy && cap(c.out) > keepBuffer {
+		c.out = nil
+	}
 	return c.ending == nil || c.busy
 }
 
@@ -194,9 +197,6 @@
 	_ = c.conn.SetWriteDeadline(time.Now().Add(c.srv.cfg.WriteTimeout))
 	_, err := c.conn.Write(c.out)
 	c.out = c.out[:0]
-	if cap(c.out) > keepBuffer {
-		c.out = nil
-	}
 	return err
 }
 
--- a/internal/target/group.go
+++ b/internal/target/group.go
@@ -4,7 +4,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"os"
 	"sync"
 	"time"
 
@@ -44,6 +46,7 @@
 	blocked      map[string]Block // servers that may not get certain work
 	held         bool             // new transactions on the primary wait
 	tried        map[string]bool  // servers that have answered or failed to answer
+	leader       string           // last known primary
 }
 
 // Block says which work a server may not get.
@@ -148,19 +151,61 @@
 	g.mu.Lock()
 	g.view.Observe(server, sentAt, a.Status)
 	g.tried[server] = true
+	former := g.noteLeader()
 	g.broadcast()
 	g.mu.Unlock()
+	g.leave(former)
 	if g.cfg.OnStatus != nil {
 		g.cfg.OnStatus(server, sentAt, a)
 	}
 }
 
+// errReplaced is why requests that wait for a former primary are sent away.
+var errReplaced = errors.New("the group has another primary")
+
+// formerPrimary is a primary that was replaced.
+type formerPrimary struct {
+	name    string
+	answers bool // it still answers status queries
+}
+
+// noteLeader records the primary and returns the one that it replaces, if any. The lock is held.
+func (g *Group) noteLeader() formerPrimary {
+	name, _, ok := g.view.Leader()
+	if !ok || name == g.leader {
+		return formerPrimary{}
+	}
+	former := formerPrimary{name: g.leader}
+	g.leader = name
+	_, _, former.answers = g.view.Status(former.name)
+	return former
+}
+
+// leave sends requests away from a former primary. One that answers ends its statements itself; from one
+// that does not, for example because it is cut off, answers would be waited for until the time limit.
+func (g *Group) leave(former formerPrimary) {
+	s := g.servers[former.name]
+	if s == nil {
+		return
+	}
+	s.pool.Dismiss(errReplaced)
+	if !former.answers {
+		s.pool.Interrupt()
+	}
+}
+
 func (g *Group) fail(server string, err error) {
 	g.mu.Lock()
 	g.view.Fail(server)
 	g.tried[server] = true
+	leads := server == g.leader
 	g.broadcast()
 	g.mu.Unlock()
+	if !leads && errors.Is(err, os.ErrDeadlineExceeded) {
+		// A server that is silent, not just unreachable, would keep requests until their time limit. Those
+		// on the primary wait, because its successor may have to tell their outcome.
+		g.servers[server].pool.Interrupt()
+	}
 	// Idle links to a server that does not answer are likely broken; a request sent over one would
 	// end without a known outcome.
 	g.servers[server].pool.CloseIdle()
