--- a/internal/bench/config.go
+++ b/internal/bench/config.go
@@ -48,11 +48,11 @@
 	}
 	d.ServiceTime = serviceTime
 	var err error
-	d.Experiment, err = experiment(c.Policy)
+	d.Experiment, err = experiment(c.Policy, d.VMs)
 	return d, err
 }
 
-func experiment(policy string) (daemon.Experiment, error) {
+func experiment(policy string, vms int) (daemon.Experiment, error) {
 	switch policy {
 	case "", "design":
 		return daemon.Experiment{}, nil
@@ -61,7 +61,7 @@
 	case "fifo":
 		return daemon.Experiment{FIFO: true}, nil
 	case "static-split":
-		return daemon.Experiment{StaticSplit: true}, nil
+		return daemon.Experiment{StaticSplit: vms}, nil
 	}
 	return daemon.Experiment{}, fmt.Errorf("policy %q does not exist; choose one of %s", policy, strings.Join(Policies, ", "))
 }
--- a/internal/daemon/experiment.go
+++ b/internal/daemon/experiment.go
@@ -14,8 +14,8 @@
 	PrimaryOnlyReads bool
 	// FIFO orders the requests that wait for a server by arrival instead of fairly by workspace.
 	FIFO bool
-	// StaticSplit leaves every VM with the share that it owns: no loans are asked for.
-	StaticSplit bool
+	// StaticSplit divides each rate and burst by this number of VMs, without loans; 0 for the design.
+	StaticSplit int
 	// OnAdmission is called for every request that the rate limit admits, at some time between from
 	// and to. It is called on the path of requests and must not block.
 	OnAdmission func(workspace string, from, to time.Time)
@@ -43,3 +43,31 @@
 		e.OnAdmission(workspace, from, time.Now())
 	}
 }
+
+// split holds the token buckets of a static split by workspace.
+type split map[string]*splitBucket
+
+type splitBucket struct {
+	tokens float64
+	at     time.Duration
+}
+
+// admit takes one token of the VM's part of the workspace's rate.
+func (s split) admit(now time.Duration, w contract.Workspace, vms int) (ok bool, wait time.Duration, known bool) {
+	if w.Name == "" {
+		return false, 0, false
+	}
+	part := 1 / float64(vms)
+	b := s[w.Name]
+	if b == nil {
+		b = &splitBucket{tokens: w.Burst * part, at: now}
+		s[w.Name] = b
+	}
+	b.tokens = min(w.Burst*part, b.tokens+w.Rate*part*(now-b.at).Seconds())
+	b.at = now
+	if b.tokens >= 1 {
+		b.tokens--
+		return true, 0, true
+	}
+	return false, admitPause, true
+}
--- a/internal/daemon/rates.go
+++ b/internal/daemon/rates.go
@@ -30,6 +30,7 @@
 	manager *grant.Manager
 	wake    chan struct{}
 	known   map[string]contract.Workspace
+	split   split // used instead of manager by Experiment.StaticSplit
 }
 
 func newRates(d *Daemon, self machine.VM, seed int64) *rates {
@@ -38,6 +39,7 @@
 		manager: grant.NewManager(runOf(self), self.Domain, rand.New(rand.NewSource(seed))),
 		wake:    make(chan struct{}, 1),
 		known:   make(map[string]contract.Workspace),
+		split:   make(split),
 	}
 }
 
@@ -109,6 +111,9 @@
 func (r *rates) try(workspace string, first bool) (ok bool, wait time.Duration, known bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if vms := r.d.experiment.StaticSplit; vms > 0 {
+		return r.split.admit(r.d.now(), r.known[workspace], vms)
+	}
 	if first {
 		return r.manager.Admit(r.d.now(), workspace, 1)
 	}
@@ -155,9 +160,6 @@
 }
 
 func (r *rates) poll(ctx context.Context) {
-	if r.d.experiment.StaticSplit {
-		return
-	}
 	r.mu.Lock()
 	requests := r.manager.Poll(r.d.now())
 	r.mu.Unlock()
