--- a/internal/daemon/rates.go
+++ b/internal/daemon/rates.go
@@ -34,7 +34,8 @@
 	manager *grant.Manager
 	wake    chan struct{}
 	known   map[string]contract.Workspace
-	peers   int // VMs that may be asked for loans
+	peers   int   // VMs that may be asked for loans
+	split   split // used instead of manager by Experiment.StaticSplit
 }
 
 func newRates(d *Daemon, self machine.VM, seed int64) *rates {
@@ -43,6 +44,7 @@
 		manager: grant.NewManager(runOf(self), self.Domain, rand.New(rand.NewSource(seed))),
 		wake:    make(chan struct{}, 1),
 		known:   make(map[string]contract.Workspace),
+		split:   make(split),
 	}
 }
 
@@ -136,6 +138,9 @@
 func (r *rates) try(workspace string, first bool) (ok bool, wait time.Duration, known bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if vms := r.d.experiment.StaticSplit; vms > 0 {
+		return r.split.admit(r.d.now(), r.known[workspace], vms)
+	}
 	if first {
 		return r.manager.Admit(r.d.now(), workspace, 1)
 	}
@@ -189,9 +194,6 @@
 }
 
 func (r *rates) poll(ctx context.Context) {
-	if r.d.experiment.StaticSplit {
-		return
-	}
 	r.mu.Lock()
 	requests := r.manager.Poll(r.d.now())
 	r.mu.Unlock()
