Drop the request id of a request that the rate limit refused

Cause: the id was kept when the request was refused before it reached a target. The next request of the connection was then recorded under this id, so that a repeat of the refused one would be answered as done although it never ran (guarantee 11). Before: TestRefusedRequestKeepsNoID: the id of the refused request is in the log. After: it is not.

--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -105,17 +105,14 @@
 	ctx, cancel := context.WithTimeout(ctx, c.timeout(access))
 	defer cancel()
 	if b.runs() {
+		defer func() { c.requestID = "" }() // also after a refusal, so that no other request takes the id
 		if err := c.srv.cfg.Policy.Admit(ctx, access); err != nil {
 			return c.refuseBatch(b, asVerdict(err, verdict.NotRun, verdict.StateRateExceeded))
 		}
 		c.srv.cfg.Metrics.Requests.Inc(1)
 		c.srv.cfg.Policy.CountRequest()
 	}
-	err = c.attempts(ctx, r)
-	if b.runs() {
-		c.requestID = ""
-	}
-	return err
+	return c.attempts(ctx, r)
 }
 
 // attempts serves r, again on another server when the verdict and the retry budget allow it.
--- a/internal/scenario/stale_test.go
+++ b/internal/scenario/stale_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -284,3 +285,40 @@
 		is.NoErr(server.Restart())
 	}
 }
+
+// Guards against a request id that a refused request leaves to the next one: the id would be recorded with
+// the wrong request, and a repeat of the refused one would be answered although it never ran.
+func TestRefusedRequestKeepsNoID(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	h := newHistory(t, 0, deployment())
+	conn := h.connect(h.fleet.URL(h.fleet.VM(0), "hot", ""), nil)
+	is.True(conn != nil)
+	t.Cleanup(func() { closeConn(conn) })
+	var others sync.WaitGroup
+	for i := range 4 * hotCallers { // so that the rate is exceeded all the time
+		others.Go(func() { h.sendHot(i) })
+	}
+	defer func() {
+		close(h.stop)
+		others.Wait()
+	}()
+	refused := false
+	for n := 0; !refused && n < 100*hotBurst; n++ {
+		_, err := runSQL(conn, fmt.Sprintf("SET siskinrouter.request_id = 'hot-%d'", n))
+		is.NoErr(err)
+		_, err = runSQL(conn, fmt.Sprintf("ADD hot-%d 1", n))
+		refused = err != nil
+		if !refused {
+			continue
+		}
+		is.Equal(verdictOf(err), verdict.NotRun)
+		is.NoErr(poll(func() error { _, err := runSQL(conn, "ADD other 1"); return err }))
+		for _, r := range h.fleet.Groups[0].Primary().History() {
+			for _, q := range r.Requests {
+				is.True(q.ID != fmt.Sprintf("hot-%d", n)) // the id of the refused request
+			}
+		}
+	}
+	is.True(refused)
+}
