devlink: connect once a cut is over

Cause: an attempt to connect that began during a cut waited for the end of its context, also after the cut. Connections of an HTTP client have a context without an end, so VMs stayed without contact to each other. After: the attempt goes on, as a repeated SYN does.

--- a/internal/devlink/network.go
+++ b/internal/devlink/network.go
@@ -60,13 +60,18 @@
 	}
 }
 
+// dialRetry is how often an attempt to connect across a cut is repeated.
+const dialRetry = 20 * time.Millisecond
+
 // Dialer returns a dial function for a process in the given failure domain.
 func (n *Network) Dialer(from string) func(ctx context.Context, network, address string) (net.Conn, error) {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		p, delay := n.path(from, address)
-		if n.isCut(p) {
-			<-ctx.Done()
-			return nil, fmt.Errorf("failure domains %s and %s are cut off: %w", p.a, p.b, ctx.Err())
+		for n.isCut(p) {
+			sleep(ctx, dialRetry)
+			if ctx.Err() != nil {
+				return nil, fmt.Errorf("failure domains %s and %s are cut off: %w", p.a, p.b, ctx.Err())
+			}
 		}
 		sleep(ctx, delay)
 		var d net.Dialer
