--- a/internal/scenario/history_test.go
+++ b/internal/scenario/history_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"flag"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -99,10 +100,22 @@
 	reads     int
 }
 
+// testLog passes the log of the daemons to a test.
+type testLog struct{ t testing.TB }
+
+func (l testLog) Write(b []byte) (int, error) {
+	l.t.Logf("%s", b)
+	return len(b), nil
+}
+
 func newHistory(t testing.TB, seed uint64, d devfleet.Deployment) *history {
 	t.Helper()
 	t.Logf("seed %d", seed)
-	f, err := devfleet.Start(context.Background(), d, nil)
+	var log io.Writer
+	if *long {
+		log = testLog{t}
+	}
+	f, err := devfleet.Start(context.Background(), d, log)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -141,7 +154,10 @@
 	close(h.stop)
 	wg.Wait()
 	if err := poll(func() error { return h.fleet.Ready(context.Background()) }); err != nil {
-		t.Fatalf("the fleet does not serve after all faults were healed: %v", err)
+		for _, s := range h.fleet.Groups[0].Servers() {
+			t.Logf("server %s: %+v, %d connections", s.Name(), s.Status(), s.Connections())
+		}
+		t.Fatalf("the fleet does not serve after all faults were healed: %v; faults: %s", err, strings.Join(h.played, ", "))
 	}
 }
 
