--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -427,3 +427,27 @@
 	is.Equal(v.server.cfg.Metrics.Retries.Count(), int64(0))
 	is.Equal(f.targets.Primary().Counts()["GET"], int64(20))
 }
+
+// Guards against requests that stay with a former primary that is cut off until their time limit, although
+// its successor serves.
+func TestRequestsLeaveASilentFormerPrimary(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, nil)
+	v := f.vm("a")
+	conns := []*pgx.Conn{f.connect(v, "ledger", nil), f.connect(v, "ledger", nil)}
+	exec(t, conns[0], "PUT a 1")
+	old := f.targets.Primary()
+	old.IsolatePeers(true)
+	old.IsolateClient("a", true)
+	go func() {
+		time.Sleep(600 * time.Millisecond)
+		f.promote(2, old.Name())
+	}()
+	start := time.Now()
+	for i, conn := range conns {
+		exec(t, conn, fmt.Sprintf("SET siskinrouter.request_id = 'request-%d'", i))
+		exec(t, conn, "ADD n 1")
+	}
+	is.True(time.Since(start) < 2*time.Second) // the goal of the failover gap
+	is.Equal(get(t, conns[0], "n"), "2")
+}
