Do not call a discarded write not run when the request is refused in the end

Cause: a write that an isolated primary had executed, and that its successor's log does not contain, was refused as 'not run' when it could not be sent again in time, although a reader cut off together with the former primary had seen it. The switch that tests use to call a missing answer 'not run' keeps the SQLSTATE of an unknown outcome, so that the request is not repeated.

--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -127,6 +127,8 @@
 	state := verdict.StateUnknownResolution
 	if x.r.read || x.c.srv.cfg.Without.OpenOutcome {
 		v = verdict.NotRun
+	}
+	if x.r.read {
 		state = verdict.StateConnectionFailure
 	}
 	if x.r.exclude == nil {
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -127,7 +127,9 @@
 			return err
 		}
 		e := asVerdict(err, verdict.MayHaveRun, verdict.StateUnknownResolution)
-		r.open = r.open || e.Verdict == verdict.MayHaveRun
+		// A discarded write has no lasting effect, but others may have read it before, so that a caller
+		// who is refused in the end is not told that it did not run.
+		r.open = r.open || e.Verdict == verdict.MayHaveRun || errors.Is(e, target.ErrDiscarded)
 		if !c.mayRetry(ctx, r, e) {
 			return c.refuseBatch(r.batch, r.final(e))
 		}
@@ -274,7 +276,9 @@
 	if err == nil || errors.As(err, &fatal) {
 		return err
 	}
-	return c.refuseBatch(b, asVerdict(err, verdict.MayHaveRun, verdict.StateUnknownResolution))
+	e := asVerdict(err, verdict.MayHaveRun, verdict.StateUnknownResolution)
+	r.open = errors.Is(e, target.ErrDiscarded)
+	return c.refuseBatch(b, r.final(e))
 }
 
 func (c *callerSession) timeout(a *Access) time.Duration {
--- a/internal/target/group.go
+++ b/internal/target/group.go
@@ -268,6 +268,10 @@
 	return floor, term, nil
 }
 
+// ErrDiscarded means that a former primary executed a write that is not part of its successor's log. The
+// write may be sent again, but reads on the former primary may have seen it.
+var ErrDiscarded = errors.New("the primary was replaced, and the log of the new one does not contain the write")
+
 // Confirm waits until a majority holds the write at p. When the primary is replaced meanwhile, the log of
 // the new one tells whether the write survived; if not, the error has the verdict NotRun.
 func (g *Group) Confirm(ctx context.Context, p session.Position) error {
@@ -292,7 +296,7 @@
 			"a majority of group %s did not confirm the write at %v in time: %w", g.Name(), p, err)
 	case outcome == routing.Lost:
 		return verdict.Errorf(verdict.NotRun, verdict.StateReadOnly,
-			"the primary of group %s was replaced and the write at %v is not part of the new primary's log", g.Name(), p)
+			"write at %v in group %s: %w", p, g.Name(), ErrDiscarded)
 	}
 	return nil
 }
