Histories end a server once; the check of open outcomes does not depend on a time limit

Two overlapping faults could end and start the same server, whose second start failed. The check of open outcomes relied on a delay after which the primary is suspected; it now kills the primary between the effect of a write and its answer, and also finds a write that runs twice.

--- a/internal/scenario/rules_test.go
+++ b/internal/scenario/rules_test.go
@@ -57,7 +57,7 @@
 	"a failed link is closed": {
 		"9", daemon.Rules{LinkClosing: true}, (*trial).answerOfAnother},
 	"a missing answer is not called not run": {
-		"10", daemon.Rules{Proxy: proxy.Rules{OpenOutcome: true}}, (*trial).lateAnswer},
+		"10", daemon.Rules{Proxy: proxy.Rules{OpenOutcome: true}}, (*trial).lostAnswer},
 	"a request id is recorded": {
 		"11", daemon.Rules{Proxy: proxy.Rules{RequestIDs: true}}, (*trial).repeatedRequest},
 	"a leaving target is blocked": {
@@ -295,13 +295,28 @@
 	return ""
 }
 
-func (r *trial) lateAnswer() string {
+// lostAnswer kills the primary after a write has run and before its answer is sent.
+func (r *trial) lostAnswer() string {
 	conn := r.caller(r.home, "")
 	r.must(conn, "PUT claim 1")
-	r.old.SetAnswerDelay(2 * statementLimit)
-	_, err := runSQL(conn, "PUT swap 1")
-	r.old.SetAnswerDelay(0)
-	if err != nil && verdictOf(err) == verdict.NotRun && r.written("swap") > 0 {
+	r.old.SetAnswerDelay(answerDelay)
+	result := make(chan error, 1)
+	go func() {
+		_, err := runSQL(conn, "PUT swap 1")
+		result <- err
+	}()
+	for _, s := range r.fleet.Groups[0].Servers() { // the write is everywhere
+		awaitValue(s, "swap")
+	}
+	r.old.Kill()
+	err := <-result
+	r.awaitNewPrimary(r.t)
+	switch n := r.written("swap"); {
+	case n == 0:
+		r.t.Fatal("the write was not replicated before its primary died")
+	case n > 1:
+		return fmt.Sprintf("a request with an open outcome was sent again and ran %d times", n)
+	case err != nil && verdictOf(err) == verdict.NotRun:
 		return "a request that ran was reported as not run"
 	}
 	return ""
--- a/internal/scenario/schedule_test.go
+++ b/internal/scenario/schedule_test.go
@@ -28,6 +28,7 @@
 	h      *history
 	rand   *rand.Rand
 	active []injected
+	ended  map[*devtarget.Server]bool // by another fault that is in force
 }
 
 // faultKind returns how to heal the fault that it injects, or nil if it cannot be injected now.
@@ -55,7 +56,7 @@
 
 // schedule returns a function that injects and heals faults until its context ends, and heals the rest.
 func (h *history) schedule(seed uint64) func(context.Context) {
-	in := &injector{h: h, rand: rand.New(rand.NewPCG(seed, 2))}
+	in := &injector{h: h, rand: rand.New(rand.NewPCG(seed, 2)), ended: make(map[*devtarget.Server]bool)}
 	return func(ctx context.Context) {
 		for ctx.Err() == nil {
 			in.step()
@@ -122,30 +123,28 @@
 func (in *injector) isolatePrimary() func() { return in.toggle((*devtarget.Server).IsolatePeers) }
 
 func (in *injector) killPrimary() func() {
-	return in.toggle(func(s *devtarget.Server, on bool) {
-		if on {
-			s.Kill()
-		} else if err := s.Restart(); err != nil {
-			in.h.violation("restart of server %s: %v", s.Name(), err)
-		}
-	})
+	return in.end(in.h.fleet.Groups[0].Primary(), (*devtarget.Server).Kill)
 }
 
-func (in *injector) shutdownServer() func() {
-	for _, f := range in.active {
-		if f.kind == "primary killed" {
-			return nil
-		}
+// end ends a server and returns how to start it again, or nil if it has ended already.
+func (in *injector) end(s *devtarget.Server, end func(*devtarget.Server)) func() {
+	if s == nil || in.ended[s] {
+		return nil
 	}
-	s := in.server()
-	s.Shutdown()
+	in.ended[s] = true
+	end(s)
 	return func() {
+		delete(in.ended, s)
 		if err := s.Restart(); err != nil {
 			in.h.violation("restart of server %s: %v", s.Name(), err)
 		}
 	}
 }
 
+func (in *injector) shutdownServer() func() {
+	return in.end(in.server(), (*devtarget.Server).Shutdown)
+}
+
 // cutOff cuts a failure domain off from all others, its server included. The VM there goes on to see
 // the server, and callers go on to reach the VM.
 func (in *injector) cutOff() func() {
--- a/internal/scenario/stale_test.go
+++ b/internal/scenario/stale_test.go
@@ -254,6 +254,15 @@
 // primary is suspected.
 const answerDelay = 250 * time.Millisecond
 
+// awaitValue waits until a server has a value for key.
+func awaitValue(s *devtarget.Server, key string) {
+	for start := time.Now(); time.Since(start) < conditionLimit; time.Sleep(answerDelay / 50) {
+		if _, ok := s.Value(key); ok {
+			return
+		}
+	}
+}
+
 // Guards against "not run" for a request whose first attempt may have run: it is sent again because it has
 // an id, and the last attempt finds no primary.
 func TestOpenAttemptKeepsOutcomeOpen(t *testing.T) {
@@ -269,11 +278,7 @@
 		_, err := runSQL(conn, "ADD swap 1")
 		result <- err
 	}()
-	for start := time.Now(); time.Since(start) < conditionLimit; time.Sleep(answerDelay / 50) {
-		if _, ok := s.old.Value("swap"); ok {
-			break // the write has committed, and its answer is on the way
-		}
-	}
+	awaitValue(s.old, "swap") // the write has committed, and its answer is on the way
 	for _, server := range s.fleet.Groups[0].Servers() {
 		server.Kill()
 	}
