--- a/internal/devtarget/faults.go
+++ b/internal/devtarget/faults.go
@@ -51,14 +51,14 @@
 // kill stops all goroutines of the server. The caller holds life.
 func (s *Server) kill() {
 	s.mu.Lock()
-	s.cancel()
 	s.listener.Close()
-	conns := slices.Collect(maps.Keys(s.conns))
-	s.notify()
-	s.mu.Unlock()
-	for _, c := range conns {
+	// Connections close before statements are cancelled, so that a killed server reports no errors.
+	for c := range s.conns {
 		c.nc.Close()
 	}
+	s.cancel()
+	s.notify()
+	s.mu.Unlock()
 	s.duties.Wait()
 }
 
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -451,3 +451,24 @@
 	is.True(time.Since(start) < 2*time.Second) // the goal of the failover gap
 	is.Equal(get(t, conns[0], "n"), "2")
 }
+
+// Guards against the rest of a lost transaction being executed statement by statement.
+func TestLostTransactionEndsTheSession(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, nil)
+	conn := f.connect(f.vm("a"), "ledger", nil)
+	exec(t, conn, "PUT a 0")
+	exec(t, conn, "BEGIN")
+	exec(t, conn, "PUT a 1")
+	old := f.targets.Primary()
+	old.Kill()
+	ctx := context.Background()
+	_, err := conn.Exec(ctx, "PUT b 1")
+	var pgErr *pgconn.PgError
+	is.True(errors.As(err, &pgErr))
+	is.Equal(pgErr.Severity, "FATAL")
+	_, err = conn.Exec(ctx, "PUT c 1")
+	is.True(err != nil)
+	is.NoErr(old.Restart())
+	is.Equal(old.Counts()["PUT"], int64(2))
+}
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -255,7 +255,8 @@
 	return floor, err
 }
 
-// continueTransaction serves a batch inside an open transaction.
+// continueTransaction serves a batch inside an open transaction. If the transaction is lost, the session ends as
+// with a server that failed: further statements of the caller would otherwise run outside of a transaction.
 func (c *callerSession) continueTransaction(ctx context.Context, b *batch) error {
 	a := c.currentAccess()
 	ctx, cancel := context.WithTimeout(ctx, c.timeout(a))
@@ -267,8 +268,7 @@
 	}
 	if c.recording != "" && isCommit(b.text()) {
 		if err := c.recordOutcome(ctx, "COMMIT"); err != nil {
-			c.dropLease()
-			return c.refuseBatch(b, asVerdict(err, verdict.NotRun, verdict.StateConnectionFailure))
+			return asVerdict(err, verdict.NotRun, verdict.StateConnectionFailure)
 		}
 	}
 	err := c.exchange(ctx, r)
@@ -278,7 +278,7 @@
 	}
 	e := asVerdict(err, verdict.MayHaveRun, verdict.StateUnknownResolution)
 	r.open = errors.Is(e, target.ErrDiscarded)
-	return c.refuseBatch(b, r.final(e))
+	return r.final(e)
 }
 
 func (c *callerSession) timeout(a *Access) time.Duration {
