Prove the search for keys at targets without a switch in the proxy

The switch made the proxy keep a caller's key and send it to a target, which product code should not be able to do even for a test. The test now puts a key into a statement and checks that the search finds it.

--- a/internal/proxy/login.go
+++ b/internal/proxy/login.go
@@ -133,9 +133,6 @@
 			return err
 		}
 	}
-	if c.srv.cfg.Without.KeySecrecy {
-		c.key = key
-	}
 	access, err := c.srv.cfg.Policy.Login(database, params["user"], key)
 	if err != nil {
 		return err
--- a/internal/proxy/rules.go
+++ b/internal/proxy/rules.go
@@ -10,5 +10,4 @@
 	OpenOutcome   bool // a request whose answer is missing is not reported as not run
 	RequestIDs    bool // a request id is recorded together with the effect
 	GracefulDrain bool // a shutdown lets transactions end
-	KeySecrecy    bool // the caller's key stays in the proxy
 }
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -204,9 +204,6 @@
 		return err
 	}
 	c.setLease(lease)
-	if c.srv.cfg.Without.KeySecrecy {
-		_, _ = c.lease.Simple("SET key = '" + c.key + "'") // the violation that tests look for
-	}
 	if c.requestID != "" && !c.srv.cfg.Without.RequestIDs && lease.Primary && !r.read && r.batch.runs() {
 		return c.runRecorded(ctx, r)
 	}
--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -26,7 +26,6 @@
 	secret []byte
 	access atomic.Pointer[Access]
 
-	key          string           // kept only if tests switch the rule KeySecrecy off
 	readOnly     bool             // declared by the caller at login
 	carriesToken bool             // the caller presents its position itself
 	floor        session.Position // position of the session; valid if carriesToken
--- a/internal/scenario/rules_test.go
+++ b/internal/scenario/rules_test.go
@@ -46,8 +46,6 @@
 		"3", daemon.Rules{Proxy: proxy.Rules{OwnLink: true}}, (*trial).openTransactionOfAnother},
 	"a key is compared at login": {
 		"4", daemon.Rules{LoginKey: true}, (*trial).wrongKey},
-	"a key stays in the proxy": {
-		"5", daemon.Rules{Proxy: proxy.Rules{KeySecrecy: true}}, (*trial).keyAtTarget},
 	"a key is checked after login": {
 		"6", daemon.Rules{KeyRecheck: true}, (*trial).withdrawnKey},
 	"requests are charged": {
@@ -193,6 +191,25 @@
 	return ""
 }
 
+// Guards against a key that reaches a target, and against a search of the targets' input that finds nothing:
+// a caller that puts its key into a statement must be found.
+func TestKeysAtTargetsAreFound(t *testing.T) {
+	for _, exposed := range []bool{false, true} {
+		t.Run(fmt.Sprintf("exposed=%t", exposed), func(t *testing.T) {
+			trialSlots <- struct{}{}
+			defer func() { <-trialSlots }()
+			r := &trial{newSplit(t, deployment()), t}
+			if exposed {
+				workspace := r.fleet.Deployment.Workspaces[0].Name
+				r.must(r.caller(r.home, ""), "PUT note "+r.fleet.Keys[workspace])
+			}
+			violation := r.keyAtTarget()
+			t.Logf("violation: %q", violation)
+			is.New(t).Equal(violation != "", exposed)
+		})
+	}
+}
+
 // changeLimit is how long a change of operators may take to be in force. The goals say "within
 // seconds"; the planned size allows 16 s.
 const changeLimit = 5 * time.Second
