devlink: end reads of a connection that is closed during a cut

Cause: a reader with data on its way waited for the end of the cut, but a closed connection is no longer told of it, and its deadline timer was stopped. Requests and drains of VMs hung behind such a link.

--- a/internal/devlink/conn.go
+++ b/internal/devlink/conn.go
@@ -26,6 +26,7 @@
 	pending  []chunk
 	err      error // of the underlying connection, after the pending chunks
 	cut      bool
+	shut     bool // closed by its user, who gets no more data
 	deadline time.Time
 	timer    *time.Timer
 	once     sync.Once
@@ -96,7 +97,7 @@
 		if c.expired() {
 			return 0, os.ErrDeadlineExceeded
 		}
-		if len(c.pending) == 0 && c.err != nil {
+		if c.shut || len(c.pending) == 0 && c.err != nil {
 			return 0, c.err
 		}
 		if len(c.pending) > 0 && !c.cut {
@@ -172,6 +173,7 @@
 	c.once.Do(func() {
 		c.closed(c)
 		c.mu.Lock()
+		c.shut = true
 		if c.err == nil {
 			c.err = net.ErrClosed
 		}
