--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -96,12 +96,13 @@
 
 // finish tells the caller why the session ends, as far as it can still be reached.
 func (c *callerSession) finish(err error) {
+	var e *verdict.Error
 	c.mu.Lock()
-	if c.ending != nil {
+	// The verdict of a request that failed goes first: the reason for the end says "not run".
+	if c.ending != nil && !errors.As(err, &e) {
 		err = c.ending
 	}
 	c.mu.Unlock()
-	var e *verdict.Error
 	if errors.As(err, &e) {
 		_ = c.conn.SetReadDeadline(time.Time{})
 		c.refuse("FATAL", e)
--- a/internal/scenario/stale_test.go
+++ b/internal/scenario/stale_test.go
@@ -327,3 +327,32 @@
 	}
 	is.True(refused)
 }
+
+// Guards against "not run" for a commit with an open outcome, when its session ends because its VM is
+// shutting down.
+func TestDrainKeepsOutcomeOpen(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newSplit(t, deployment())
+	conn := s.session(t, s.home, "")
+	for _, statement := range []string{"BEGIN", "PUT claim 1"} {
+		_, err := runSQL(conn, statement)
+		is.NoErr(err)
+	}
+	s.old.SetAnswerDelay(answerDelay)
+	result := make(chan error, 1)
+	go func() {
+		_, err := runSQL(conn, "COMMIT")
+		result <- err
+	}()
+	awaitValue(s.old, "claim") // the transaction has committed, and the answer is on the way
+	drained := make(chan error, 1)
+	go func() { drained <- s.home.Drain() }()
+	time.Sleep(answerDelay / 5) // the drain has begun
+	s.old.Kill()
+	err := <-result
+	t.Logf("refusal: %v", err)
+	is.True(err != nil)
+	is.Equal(verdictOf(err), verdict.MayHaveRun)
+	is.NoErr(<-drained)
+}
