--- a/internal/scenario/history_test.go
+++ b/internal/scenario/history_test.go
@@ -80,7 +80,7 @@
 	key          string
 	sent         int // highest value of a request
 	acknowledged int // highest acknowledged value
-	refused      map[int]bool
+	refused      map[int]error
 }
 
 // span is the time from the start of an admitted request to its end, in which it was admitted.
@@ -294,7 +294,7 @@
 // still take effect after a later one.
 func (c *caller) newRegister() {
 	c.renewed++
-	c.reg = register{key: fmt.Sprintf("r%d-%d", c.id, c.renewed), refused: make(map[int]bool)}
+	c.reg = register{key: fmt.Sprintf("r%d-%d", c.id, c.renewed), refused: make(map[int]error)}
 	c.publish()
 }
 
@@ -377,7 +377,7 @@
 		c.keepToken()
 		c.publish()
 	case verdict.NotRun:
-		c.reg.refused[w.value] = true
+		c.reg.refused[w.value] = w.err
 	default:
 		c.newRegister()
 	}
@@ -467,8 +467,8 @@
 		c.h.violation("caller %d (token %t, lookup %t) read %s = %d after %d was acknowledged",
 			c.id, c.carriesToken(), c.lookup, reg.key, got, reg.acknowledged)
 	}
-	if reg.key == c.reg.key && c.reg.refused[got] {
-		c.h.violation("caller %d read %s = %d, which was refused as not run", c.id, reg.key, got)
+	if refusal := c.reg.refused[got]; reg.key == c.reg.key && refusal != nil {
+		c.h.violation("caller %d (lookup %t) read %s = %d, which was refused as not run: %v", c.id, c.lookup, reg.key, got, refusal)
 	}
 }
 
