--- a/internal/proxy/record.go
+++ b/internal/proxy/record.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
@@ -226,10 +225,7 @@
 
 // recordOutcome records the outcome of the open transaction ahead of its COMMIT.
 func (c *callerSession) recordOutcome(ctx context.Context, tag string) error {
-	deadline, ok := ctx.Deadline()
-	if !ok {
-		deadline = time.Time{}
-	}
+	deadline, _ := ctx.Deadline() // the zero time removes the bound
 	c.lease.SetDeadline(deadline)
 	if _, err := c.lease.Simple(outcomeStatement(c.recording, tag)); err != nil {
 		return recordError(verdict.NotRun, err)
