--- /dev/null
+++ b/internal/broker/broker.go
@@ -0,0 +1,373 @@
+package broker
+
+import (
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"golang.org/x/time/rate"
+
+	"siskinrouter/internal/directory"
+	"siskinrouter/internal/fairqueue"
+	"siskinrouter/internal/placement"
+	"siskinrouter/internal/statement"
+)
+
+const (
+	// slotSurplus statements are sent to a server beyond its slots, so that a slot is not idle while an
+	// answer and the next statement are on their way.
+	slotSurplus = 1
+	// maxWaiting and maxWaitingPerWorkspace bound the queue of one server. With a service time of some
+	// ten milliseconds and a few slots, more cannot be served within a usual timeout.
+	maxWaiting             = 256
+	maxWaitingPerWorkspace = 128
+	// maxAttempts bounds how often a statement that did not run is placed.
+	maxAttempts = 4
+)
+
+// Config holds what a broker needs.
+type Config struct {
+	Service string
+	Dialer  Dialer
+	Tenure  Tenure
+	Log     *log.Logger
+	Metrics *Metrics
+	Clock   func() time.Duration // steady, since the start of the process
+	// BootClock also counts suspended time; tenures use it.
+	BootClock func() time.Duration
+}
+
+// Broker owns the connections to the servers of one service.
+type Broker struct {
+	Config
+	mu      sync.Mutex
+	since   time.Duration
+	servers map[string]*server
+	history placement.History
+	// primary is the server that leads; empty while it is not known or being replaced.
+	primary   string
+	recorded  string
+	changedAt time.Duration
+	changing  bool
+	txs       map[StreamKey]*tx
+	nextID    uint64
+	works     map[uint64]*work
+	// parked holds statements that need the primary while there is none.
+	parked     []*work
+	limits     map[string]*rate.Limiter
+	weights    map[string]int
+	closed     bool
+	done       chan struct{}
+	background sync.WaitGroup
+}
+
+// server is one server of the group.
+type server struct {
+	directory.Server
+	usable    bool
+	queue     *fairqueue.Queue
+	pool      pool
+	running   int // statements that bypass the queue included
+	status    Status
+	heard     bool
+	reachable bool
+	heardAt   time.Duration
+	behindAt  time.Duration
+	failedAt  time.Duration
+	service   time.Duration // running mean of the time from sending a statement to its answer
+	stop      chan struct{}
+}
+
+// work is a statement that waits or runs.
+type work struct {
+	id       uint64
+	key      StreamKey
+	req      Request
+	reply    func(Result)
+	arrived  time.Duration
+	deadline time.Duration
+	attempts int
+	avoid    string // server that has just failed for this statement
+	server   *server
+	choice   placement.Choice
+	queued   bool // holds a slot of the server's queue
+	tx       *tx
+}
+
+// tx is an open transaction.
+type tx struct {
+	key    StreamKey
+	conn   *conn
+	writes bool // not read-only
+	busy   bool
+	ended  bool // the caller left while a statement was running
+}
+
+// New returns a broker that serves once its tenure is valid.
+func New(c Config, recorded string) *Broker {
+	b := &Broker{
+		Config: c, since: c.Clock(), servers: map[string]*server{}, txs: map[StreamKey]*tx{},
+		works: map[uint64]*work{}, recorded: recorded, limits: map[string]*rate.Limiter{},
+		weights: map[string]int{}, done: make(chan struct{}),
+	}
+	b.background.Add(1)
+	go b.watchOver()
+	return b
+}
+
+// Close ends the tenure: statements that wait are refused, open transactions end with their next
+// statement, and idle connections are closed.
+func (b *Broker) Close() {
+	b.mu.Lock()
+	if b.closed {
+		b.mu.Unlock()
+		return
+	}
+	b.closed = true
+	close(b.done)
+	var refused []*work
+	for id, w := range b.works {
+		if w.server != nil && w.server.queue.Cancel(id) {
+			refused = append(refused, w)
+			delete(b.works, id)
+		}
+	}
+	refused = append(refused, b.parked...)
+	b.parked = nil
+	for _, s := range b.servers {
+		close(s.stop)
+		refused = append(refused, s.pool.waiting...)
+		s.pool.waiting = nil
+		closeAll(s.pool.drain())
+	}
+	b.mu.Unlock()
+	for _, w := range refused {
+		w.reply(Result{Stream: w.req.Stream, NotOwner: true})
+	}
+}
+
+// Streams returns the number of open transactions and of statements that wait or run.
+func (b *Broker) Streams() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.txs) + len(b.works)
+}
+
+// Handle runs a statement and calls reply once, possibly before it returns.
+func (b *Broker) Handle(key StreamKey, req Request, reply func(Result)) {
+	now := b.Clock()
+	w := &work{key: key, req: req, reply: reply, arrived: now, deadline: now + req.Budget}
+	b.mu.Lock()
+	if t := b.txs[key]; t != nil {
+		b.nextID++
+		w.id = b.nextID
+		b.works[w.id] = w
+		w.tx = t
+		t.busy = true
+		w.server = t.conn.server
+		w.server.running++
+		b.mu.Unlock()
+		go b.run(w, t.conn)
+		return
+	}
+	if !req.First && req.Begin == 0 {
+		b.mu.Unlock()
+		reply(RolledBack(req.Stream))
+		return
+	}
+	if b.closed || !b.Tenure.Valid(b.Service) {
+		b.mu.Unlock()
+		reply(Result{Stream: req.Stream, NotOwner: true})
+		return
+	}
+	if !b.admit(w) {
+		b.mu.Unlock()
+		b.Metrics.RateRefused.Inc(1)
+		b.Log.Info("refused", "id", req.Statement.ID, "service", b.Service, "workspace", req.Workspace, "reason", "rate")
+		reply(refusal(w, "rate of the workspace exceeded"))
+		return
+	}
+	b.nextID++
+	w.id = b.nextID
+	b.works[w.id] = w
+	start, replies := b.place(now, w)
+	b.mu.Unlock()
+	b.after(start, replies)
+}
+
+// refusal answers a statement that did not run.
+func refusal(w *work, reason string) Result {
+	return Result{Stream: w.req.Stream, Answer: statement.Err(statement.Overloaded, reason)}
+}
+
+// answered pairs a result with the statement that it answers.
+type answered struct {
+	w *work
+	r Result
+}
+
+// started is a statement that was given a slot and a connection, or the right to open one.
+type started struct {
+	w       *work
+	c       *conn
+	evicted *conn
+}
+
+// after carries out what was decided under the mutex.
+func (b *Broker) after(start []started, replies []answered) {
+	for _, a := range replies {
+		a.w.reply(a.r)
+	}
+	for _, s := range start {
+		go b.runOn(s)
+	}
+}
+
+// admit charges the request to its workspace. The mutex is held.
+func (b *Broker) admit(w *work) bool {
+	if !w.req.First {
+		return true
+	}
+	limiter := b.limits[w.req.Workspace]
+	return limiter == nil || limiter.AllowN(time.Now(), 1)
+}
+
+// place chooses a server and queues the statement there. The mutex is held.
+func (b *Broker) place(now time.Duration, w *work) ([]started, []answered) {
+	need := placement.Need{
+		Consistency: w.req.Consistency, MaxAge: w.req.MaxAge, Floor: w.req.Floor, Writes: w.writes(),
+	}
+	choice, ok := placement.Choose(now, b.candidates(), &b.history, need, w.avoid)
+	if !ok {
+		if b.changing || b.primary == "" {
+			b.parked = append(b.parked, w)
+			return nil, nil
+		}
+		return nil, b.refuse(w, "no server can serve the statement")
+	}
+	w.choice = choice
+	w.server = b.servers[choice.Server]
+	weight := b.weights[w.req.Workspace]
+	refused := w.server.queue.Enqueue(now, fairqueue.Request{
+		ID: w.id, Workspace: w.req.Workspace, Weight: weight, Deadline: w.deadline,
+	})
+	replies := b.refused(refused)
+	start, more := b.dispatch(now, w.server)
+	return start, append(replies, more...)
+}
+
+// writes reports whether only the primary can serve the stream.
+func (w *work) writes() bool {
+	switch {
+	case w.req.Begin == statement.Begin:
+		return true
+	case w.req.Begin == statement.BeginRead:
+		return false
+	case w.req.Statement.Kind == statement.Execute:
+		return w.req.Shape.Writes
+	}
+	return w.req.Statement.Kind == statement.Write
+}
+
+// candidates describes the servers for a placement. The mutex is held.
+func (b *Broker) candidates() []placement.Server {
+	all := make([]placement.Server, 0, len(b.servers))
+	for _, s := range b.servers {
+		waiting, _ := s.queue.Len()
+		all = append(all, placement.Server{
+			ID: s.ID, Slots: s.Slots, Usable: s.usable, Primary: s.ID == b.primary && !b.changing,
+			Applied: s.status.Applied, Lag: s.status.Lag, Load: s.running + waiting, Service: s.service,
+			BehindAt: s.behindAt, FailedAt: s.failedAt,
+		})
+	}
+	return all
+}
+
+// refuse answers a statement that did not run. The mutex is held.
+func (b *Broker) refuse(w *work, reason string) []answered {
+	delete(b.works, w.id)
+	b.Metrics.Refused.Inc(1)
+	b.Log.Info("refused", "id", w.req.Statement.ID, "service", b.Service, "workspace", w.req.Workspace,
+		"reason", reason, "waited", b.Clock()-w.arrived)
+	return []answered{{w, refusal(w, reason)}}
+}
+
+// refused answers the statements that a queue has refused. The mutex is held.
+func (b *Broker) refused(list []fairqueue.Refusal) []answered {
+	var replies []answered
+	for _, r := range list {
+		if w := b.works[r.ID]; w != nil {
+			replies = append(replies, b.refuse(w, r.Err.Reason)...)
+		}
+	}
+	return replies
+}
+
+// dispatch starts the statements that are entitled to the free slots of a server. The mutex is held.
+func (b *Broker) dispatch(now time.Duration, s *server) (start []started, replies []answered) {
+	for {
+		id, ok, refused := s.queue.Next(now)
+		replies = append(replies, b.refused(refused)...)
+		if !ok {
+			return start, replies
+		}
+		w := b.works[id]
+		if w == nil {
+			s.queue.Done(now, id)
+			continue
+		}
+		w.queued = true
+		s.running++
+		c, evicted, ok := s.pool.take(w)
+		if !ok {
+			s.pool.waiting = append(s.pool.waiting, w)
+			continue
+		}
+		start = append(start, started{w, c, evicted})
+	}
+}
+
+// End rolls a stream back, because the caller has left or has asked for it.
+func (b *Broker) End(key StreamKey) {
+	b.mu.Lock()
+	t := b.txs[key]
+	if t == nil {
+		b.mu.Unlock()
+		return
+	}
+	delete(b.txs, key)
+	if t.busy {
+		t.ended = true
+		b.mu.Unlock()
+		return
+	}
+	b.mu.Unlock()
+	go b.rollBack(t.conn)
+}
+
+// EndLink rolls back all streams of a connection between VMs that was lost.
+func (b *Broker) EndLink(link uint64) {
+	b.mu.Lock()
+	var keys []StreamKey
+	for key := range b.txs {
+		if key.Link == link {
+			keys = append(keys, key)
+		}
+	}
+	b.mu.Unlock()
+	for _, key := range keys {
+		b.End(key)
+	}
+}
+
+// Has reports whether a transaction is open.
+func (b *Broker) Has(key StreamKey) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.txs[key] != nil
+}
+
+// RolledBack is the answer to a statement of a transaction that is no longer open.
+func RolledBack(stream uint64) Result {
+	return Result{Stream: stream, Answer: statement.Err(statement.Aborted, "the transaction was rolled back")}
+}
--- /dev/null
+++ b/internal/broker/metrics.go
@@ -0,0 +1,24 @@
+package broker
+
+import "github.com/rcrowley/go-metrics"
+
+// latencySamples is the size of the reservoir of the latency histograms.
+const latencySamples = 512
+
+// Metrics are the counters of all brokers of a VM.
+type Metrics struct {
+	Refused, RateRefused, Failed, Retries, Connects, Promotions metrics.Counter
+	// Latency is the time from the receipt of a statement to its answer in microseconds.
+	Latency metrics.Histogram
+}
+
+// NewMetrics registers the counters.
+func NewMetrics(r metrics.Registry) *Metrics {
+	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter(name, r) }
+	return &Metrics{
+		Refused: counter("broker.refused"), RateRefused: counter("broker.refused_rate"),
+		Failed: counter("broker.failed"), Retries: counter("broker.retries"),
+		Connects: counter("broker.connects"), Promotions: counter("broker.promotions"),
+		Latency: metrics.GetOrRegisterHistogram("broker.latency_us", r, metrics.NewUniformSample(latencySamples)),
+	}
+}
--- /dev/null
+++ b/internal/broker/servers.go
@@ -0,0 +1,238 @@
+package broker
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"siskinrouter/internal/directory"
+	"siskinrouter/internal/fairqueue"
+	"siskinrouter/internal/placement"
+	"siskinrouter/internal/statement"
+)
+
+const (
+	// probeInterval is the time between two status queries of a server; each takes a slot.
+	probeInterval = 500 * time.Millisecond
+	// urgentInterval is used while a server does not answer, or while the primary is being replaced.
+	urgentInterval = 150 * time.Millisecond
+	// probeTimeout bounds a status query. It waits behind the statements in the server's own queue.
+	probeTimeout = 600 * time.Millisecond
+	// probeName is the name under which status queries connect.
+	probeName = "siskinrouter"
+	// firstService is the estimate of a service time before any was measured.
+	firstService = 20 * time.Millisecond
+	// leastBurst lets a workspace with a small rate send single requests to each service.
+	leastBurst = 1
+	// watchInterval is the time between two looks at the group.
+	watchInterval = 50 * time.Millisecond
+)
+
+// Update takes the configuration and the servers of the service.
+func (b *Broker) Update(v *directory.View) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.closed || v.Configuration == nil {
+		return
+	}
+	service := v.Configuration.Services[b.Service]
+	for id, s := range v.Servers {
+		if s.Service == b.Service {
+			b.updateServer(v, service, id, s)
+		}
+	}
+	for id, s := range b.servers {
+		if _, ok := v.Servers[id]; !ok {
+			b.Log.Info("server gone", "service", b.Service, "server", id)
+			b.removeServer(s)
+		}
+	}
+	b.updateLimits(v.Configuration)
+}
+
+// updateServer adds a server or changes what is known of it. The mutex is held.
+func (b *Broker) updateServer(v *directory.View, service directory.Service, id string, d directory.Server) {
+	known := b.servers[id]
+	if known != nil && (known.Born != d.Born || known.Address != d.Address) {
+		b.Log.Info("server restarted", "service", b.Service, "server", id, "address", d.Address)
+		b.removeServer(known)
+		known = nil
+	}
+	if known == nil {
+		known = &server{
+			service: firstService, stop: make(chan struct{}),
+			queue: fairqueue.New(fairqueue.Limits{
+				Slots: d.Slots + slotSurplus, Waiting: maxWaiting, PerWorkspace: maxWaitingPerWorkspace,
+			}),
+			pool: pool{idle: map[string][]*conn{}},
+		}
+		known.heardAt = b.Clock()
+		b.servers[id] = known
+		b.background.Add(1)
+		go b.probe(known, d)
+	}
+	usable := v.Usable(id)
+	if known.usable != usable {
+		b.Log.Info("server usable", "service", b.Service, "server", id, "usable", usable, "draining", d.Draining,
+			"withdrawn", v.Withdrawn[d.Domain], "revision", v.Revisions[directory.Servers])
+	}
+	known.Server = d
+	known.usable = usable
+	known.pool.limit = max(service.MaxConnections-reservedConns, 1)
+	known.queue.SetSlots(d.Slots + slotSurplus)
+}
+
+// removeServer forgets a server. Statements that wait there are placed anew. The mutex is held.
+func (b *Broker) removeServer(s *server) {
+	close(s.stop)
+	delete(b.servers, s.ID)
+	idle := s.pool.drain()
+	go closeAll(idle)
+	b.move(s)
+}
+
+// move places the statements anew that wait for a slot of a server. The mutex is held.
+func (b *Broker) move(s *server) {
+	var moved []*work
+	for id, w := range b.works {
+		if w.server == s && w.tx == nil && s.queue.Cancel(id) {
+			moved = append(moved, w)
+		}
+	}
+	now := b.Clock()
+	for _, w := range moved {
+		start, replies := b.place(now, w)
+		go b.after(start, replies)
+	}
+}
+
+// updateLimits sets the rates of the workspaces. Each service has an equal part of a workspace's rate and
+// burst, so that the owners need not agree on each request. The mutex is held.
+func (b *Broker) updateLimits(c *directory.Configuration) {
+	parts := float64(max(len(c.Services), 1))
+	for name := range b.limits {
+		if _, ok := c.Workspaces[name]; !ok {
+			delete(b.limits, name)
+		}
+	}
+	for name, w := range c.Workspaces {
+		perSecond := rate.Limit(w.Rate / parts)
+		burst := int(max(w.Burst/parts, leastBurst))
+		b.weights[name] = int(w.Rate)
+		limiter := b.limits[name]
+		if limiter == nil {
+			b.limits[name] = rate.NewLimiter(perSecond, burst)
+			continue
+		}
+		if limiter.Limit() != perSecond {
+			limiter.SetLimit(perSecond)
+		}
+		if limiter.Burst() != burst {
+			limiter.SetBurst(burst)
+		}
+	}
+}
+
+// probe asks a server for its status until it is removed.
+func (b *Broker) probe(s *server, d directory.Server) {
+	defer b.background.Done()
+	var c Conn
+	for {
+		c = b.probeOnce(s, d, c)
+		select {
+		case <-s.stop:
+			if c != nil {
+				_ = c.Close()
+			}
+			return
+		case <-time.After(b.probePause(s)):
+		}
+	}
+}
+
+// probePause returns the time until the next status query of a server.
+func (b *Broker) probePause(s *server) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !s.reachable || b.changing || b.primary == "" {
+		return urgentInterval
+	}
+	return probeInterval
+}
+
+// probeOnce asks a server for its status over c, or over a new connection, and returns the connection.
+func (b *Broker) probeOnce(s *server, d directory.Server, c Conn) Conn {
+	sent := b.Clock()
+	a, c, err := b.control(d, c, statement.Command{Kind: statement.Status})
+	var st Status
+	if err == nil && a.Code == statement.OK {
+		st, err = b.Dialer.ParseStatus(a)
+	}
+	now := b.Clock()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if err != nil {
+		if s.reachable {
+			b.Log.Warn("server does not answer", "service", b.Service, "server", d.ID, "error", err,
+				"last_answer", now-s.heardAt)
+		}
+		s.reachable = false
+		return c
+	}
+	if !s.reachable {
+		b.Log.Info("server answers", "service", b.Service, "server", d.ID, "primary", st.Primary, "term", st.Term,
+			"received", st.Received, "lag", st.Lag)
+	}
+	s.reachable = true
+	s.heardAt = now
+	if a.Code == statement.OK {
+		applied := s.status.Applied
+		s.status = st
+		s.heard = true
+		if applied.Compare(st.Applied) > 0 && applied.Term == st.Applied.Term {
+			s.status.Applied = applied
+		}
+		b.observe(s, sent, a.Position)
+	}
+	return c
+}
+
+// control runs a command over c, or over a new connection, and returns the connection if it can be
+// used further.
+func (b *Broker) control(d directory.Server, c Conn, command statement.Command) (statement.Answer, Conn, error) {
+	if c == nil {
+		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+		defer cancel()
+		var err error
+		if c, err = b.Dialer.Dial(ctx, d, probeName); err != nil {
+			return statement.Answer{}, nil, err
+		}
+	}
+	answers, err := c.Do([]statement.Command{command}, time.Now().Add(probeTimeout))
+	if err != nil {
+		_ = c.Close()
+		return statement.Answer{}, nil, err
+	}
+	return answers[0], c, nil
+}
+
+// group describes the group for a decision on its primary. The mutex is held.
+func (b *Broker) group(now time.Duration) placement.Group {
+	g := placement.Group{Primary: b.primary, Recorded: b.recorded, Since: b.since, ChangedAt: b.changedAt}
+	for _, s := range b.servers {
+		g.Servers = append(g.Servers, placement.Candidate{
+			ID: s.ID, Usable: s.usable, Heard: s.heard, Reachable: s.reachable, SilentFor: now - s.heardAt,
+			Primary: s.status.Primary, Term: s.status.Term, Received: s.status.Received,
+		})
+	}
+	return g
+}
+
+// primaryLost makes the role of a server be found out again, because it refused a write.
+func (b *Broker) primaryLost(s *server) {
+	if s.ID == b.primary && !b.changing {
+		b.Log.Warn("primary refuses writes", "service", b.Service, "server", s.ID)
+		s.status.Primary = false
+	}
+}
--- /dev/null
+++ b/internal/broker/types.go
@@ -0,0 +1,88 @@
+// Package broker runs the statements of one service on the VM that owns it. The owner alone holds
+// connections to the service's servers, so it knows how many statements run on each server, which
+// position the primary has reached, and that nobody uses a primary that it has replaced.
+package broker
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"siskinrouter/internal/directory"
+	"siskinrouter/internal/session"
+	"siskinrouter/internal/statement"
+)
+
+// Conn is a connection to a server that belongs to one workspace.
+type Conn interface {
+	// Do sends all commands at once and returns their answers. With an error, the answers that were
+	// complete are returned.
+	Do(commands []statement.Command, deadline time.Time) ([]statement.Answer, error)
+	Close() error
+}
+
+// Dialer opens connections to servers.
+type Dialer interface {
+	// Dial returns a *RefusedError if the server refuses the session.
+	Dial(ctx context.Context, s directory.Server, workspace string) (Conn, error)
+	// ParseStatus decodes the answer to a status command.
+	ParseStatus(a statement.Answer) (Status, error)
+}
+
+// RefusedError is the refusal of a session by a server.
+type RefusedError struct {
+	Code   statement.Code
+	Detail string
+}
+
+// Error names the code.
+func (e *RefusedError) Error() string { return fmt.Sprintf("session refused: %s %s", e.Code, e.Detail) }
+
+// Status is the replication status of a server.
+type Status struct {
+	Primary           bool
+	Term              uint64
+	Received, Applied session.Position
+	Lag               time.Duration
+}
+
+// Request is one statement of a caller, sent by the VM that holds the caller's session.
+type Request struct {
+	// Stream is the transaction or single statement; its first statement opens it.
+	Stream             uint64
+	Service, Workspace string
+	// First marks the first statement of a request, which counts against the workspace's rate.
+	First bool
+	// Begin is Begin or BeginRead for the first statement of a transaction, otherwise zero.
+	Begin       statement.Kind
+	Consistency directory.Consistency
+	MaxAge      time.Duration
+	Floor       session.Position // last acknowledged write of the session
+	Priority    int
+	Budget      time.Duration // until the answer is of no use
+	Statement   statement.Statement
+	Shape       statement.Shape // of an execution
+	Settings    []statement.Setting
+}
+
+// Result is the answer to a Request.
+type Result struct {
+	Stream uint64
+	Answer statement.Answer
+	// Open is set while the stream's transaction continues.
+	Open bool
+	// NotOwner means that another VM owns the service; the statement did not run.
+	NotOwner bool
+}
+
+// StreamKey identifies a stream. Link is the connection between VMs that it came by, 0 for this VM.
+type StreamKey struct{ Link, Stream uint64 }
+
+// Tenure is what a broker needs to know of its ownership.
+type Tenure interface {
+	// Valid reports whether this VM may act as the owner now.
+	Valid(service string) bool
+	// Promote records a server as the primary and makes it lead. It returns once the platform has
+	// accepted the order.
+	Promote(ctx context.Context, service, server string) error
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -55,6 +55,7 @@
 		FlagSet:    fs,
 		Subcommands: []*ffcli.Command{
 			e.serveCommand(),
+			e.edgeCommand(),
 			e.configCommand(),
 			e.keyCommand(),
 			e.domainCommand(),
--- /dev/null
+++ b/internal/directory/directory.go
@@ -0,0 +1,281 @@
+package directory
+
+import (
+	"maps"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// MissingGrace is how long a server is kept after its entry disappeared. Entries that lapse while the
+// store is away return within two seconds.
+const MissingGrace = 2500 * time.Millisecond
+
+// View is an immutable state of the directory.
+type View struct {
+	Configuration *Configuration // nil before the first one is known
+	Servers       map[string]Server
+	// Missing says since when the entry of a server that is still in Servers has been missing.
+	Missing   map[string]time.Duration
+	Withdrawn map[string]bool // failure domains
+	VMs       map[string]VM
+	Tenures   map[string]TenureEntry
+	Revisions [KindCount]uint64
+	// Changed holds for each kind the revision of its last known change, by which VMs compare their news.
+	Changed [KindCount]uint64
+}
+
+// TenureEntry is a tenure and the revision of its record.
+type TenureEntry struct {
+	Tenure
+	Revision uint64
+}
+
+// Usable reports whether new work may be sent to a server.
+func (v *View) Usable(id string) bool {
+	s, ok := v.Servers[id]
+	return ok && !s.Draining && !v.Withdrawn[s.Domain]
+}
+
+// Dead reports whether a run of a VM is known to have ended, because another run has replaced it.
+func (v *View) Dead(h Holder) bool {
+	vm, ok := v.VMs[h.Name]
+	return ok && vm.Incarnation != h.Incarnation
+}
+
+// Directory merges news. It is safe for concurrent use.
+type Directory struct {
+	view    atomic.Pointer[View]
+	mu      sync.Mutex
+	objects [KindCount]map[string]Entry
+	// met holds the VMs that have introduced themselves, which is later news than the store's.
+	met     map[string]VM
+	missing map[string]missingServer
+	changed []func(old, new *View)
+}
+
+type missingServer struct {
+	server Server
+	since  time.Duration
+}
+
+// New returns an empty directory.
+func New() *Directory {
+	d := &Directory{met: map[string]VM{}, missing: map[string]missingServer{}}
+	for k := range d.objects {
+		d.objects[k] = map[string]Entry{}
+	}
+	d.view.Store(&View{})
+	return d
+}
+
+// OnChange registers a function that is called after each change, one at a time and in order. It must
+// be called before the directory is used.
+func (d *Directory) OnChange(f func(old, new *View)) { d.changed = append(d.changed, f) }
+
+// View returns the present state.
+func (d *Directory) View() *View { return d.view.Load() }
+
+// Replace puts a complete listing into force unless the state of its kind is as late.
+func (d *Directory) Replace(now time.Duration, l Listing) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if l.Revision <= d.view.Load().Revisions[l.Kind] {
+		return false
+	}
+	objects := make(map[string]Entry, len(l.Entries))
+	for _, e := range l.Entries {
+		objects[e.Name] = e
+	}
+	if l.Kind == Servers {
+		for name, e := range d.objects[Servers] {
+			if _, ok := objects[name]; !ok {
+				d.lapse(now, e)
+			}
+		}
+	}
+	changed := d.view.Load().Changed[l.Kind]
+	if !sameRevisions(d.objects[l.Kind], objects) {
+		changed = latestRevision(objects, changed)
+	}
+	d.objects[l.Kind] = objects
+	d.publish(now, l.Kind, l.Revision, changed)
+	return true
+}
+
+// Update puts changes into force that follow the known state of their kind.
+func (d *Directory) Update(now time.Duration, l Listing) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if l.Revision <= d.view.Load().Revisions[l.Kind] {
+		return
+	}
+	changed := d.view.Load().Changed[l.Kind]
+	for _, e := range l.Entries {
+		d.update(now, l.Kind, e)
+		changed = max(changed, e.Revision)
+	}
+	d.publish(now, l.Kind, l.Revision, changed)
+}
+
+// sameRevisions reports whether two states of a kind hold the same objects.
+func sameRevisions(a, b map[string]Entry) bool {
+	return maps.EqualFunc(a, b, func(x, y Entry) bool { return x.Revision == y.Revision })
+}
+
+// latestRevision returns the highest revision of the objects and of the last change known before.
+func latestRevision(objects map[string]Entry, before uint64) uint64 {
+	latest := before
+	for _, e := range objects {
+		latest = max(latest, e.Revision)
+	}
+	return latest
+}
+
+// same publishes a kind again whose revisions have not changed. The mutex is held.
+func (d *Directory) same(now time.Duration, k Kind) {
+	v := d.view.Load()
+	d.publish(now, k, v.Revisions[k], v.Changed[k])
+}
+
+// Put takes a single object that this VM has written or another one has sent. The revision of its kind
+// stays, because other changes may lie between.
+func (d *Directory) Put(now time.Duration, k Kind, e Entry) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if old, ok := d.objects[k][e.Name]; ok && old.Revision >= e.Revision {
+		return
+	}
+	d.update(now, k, e)
+	d.same(now, k)
+}
+
+// Meet takes the introduction of a VM.
+func (d *Directory) Meet(now time.Duration, v VM) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.met[v.Name] == v {
+		return
+	}
+	d.met[v.Name] = v
+	d.same(now, Fleet)
+}
+
+// Expire drops servers whose entries have been missing for too long.
+func (d *Directory) Expire(now time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	dropped := false
+	for id, m := range d.missing {
+		if now-m.since > MissingGrace {
+			delete(d.missing, id)
+			dropped = true
+		}
+	}
+	if dropped {
+		d.same(now, Servers)
+	}
+}
+
+// Listing returns the complete state of a kind, for another VM.
+func (d *Directory) Listing(k Kind) Listing {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	l := Listing{Kind: k, Revision: d.view.Load().Revisions[k]}
+	for _, e := range d.objects[k] {
+		l.Entries = append(l.Entries, e)
+	}
+	return l
+}
+
+// update changes one object. The mutex is held.
+func (d *Directory) update(now time.Duration, k Kind, e Entry) {
+	old, known := d.objects[k][e.Name]
+	if known && old.Revision > e.Revision {
+		return
+	}
+	if e.Deleted {
+		delete(d.objects[k], e.Name)
+		if known && k == Servers {
+			d.lapse(now, old)
+		}
+		return
+	}
+	d.objects[k][e.Name] = e
+}
+
+// lapse remembers a server whose entry is missing. The mutex is held.
+func (d *Directory) lapse(now time.Duration, e Entry) {
+	if e.Server != nil {
+		d.missing[e.Server.ID] = missingServer{server: *e.Server, since: now}
+	}
+}
+
+// publish derives the view. The mutex is held.
+func (d *Directory) publish(now time.Duration, k Kind, revision, changed uint64) {
+	old := d.view.Load()
+	next := *old
+	next.Revisions[k] = revision
+	next.Changed[k] = changed
+	switch k {
+	case Configurations:
+		next.Configuration = d.configuration()
+	case Servers:
+		next.Servers, next.Missing = d.servers(now)
+	case Withdrawals:
+		next.Withdrawn = map[string]bool{}
+		for name := range d.objects[Withdrawals] {
+			next.Withdrawn[name] = true
+		}
+	case Fleet:
+		next.VMs, next.Tenures = d.fleet()
+	}
+	d.view.Store(&next)
+	for _, f := range d.changed {
+		f(old, &next)
+	}
+}
+
+// configuration returns the latest version; the previous one stays if an object cannot be understood.
+func (d *Directory) configuration() *Configuration {
+	latest := d.view.Load().Configuration
+	for _, e := range d.objects[Configurations] {
+		if e.Configuration != nil && (latest == nil || e.Configuration.Version > latest.Version) {
+			latest = e.Configuration
+		}
+	}
+	return latest
+}
+
+func (d *Directory) servers(now time.Duration) (map[string]Server, map[string]time.Duration) {
+	servers := map[string]Server{}
+	missing := map[string]time.Duration{}
+	for _, e := range d.objects[Servers] {
+		if e.Server != nil {
+			servers[e.Server.ID] = *e.Server
+			delete(d.missing, e.Server.ID)
+		}
+	}
+	for id, m := range d.missing {
+		if now-m.since <= MissingGrace {
+			servers[id] = m.server
+			missing[id] = m.since
+		}
+	}
+	return servers, missing
+}
+
+func (d *Directory) fleet() (map[string]VM, map[string]TenureEntry) {
+	vms := map[string]VM{}
+	tenures := map[string]TenureEntry{}
+	for _, e := range d.objects[Fleet] {
+		switch {
+		case e.VM != nil:
+			vms[e.VM.Name] = *e.VM
+		case e.Tenure != nil:
+			tenures[e.Tenure.Service] = TenureEntry{*e.Tenure, e.Revision}
+		}
+	}
+	maps.Copy(vms, d.met)
+	return vms, tenures
+}
--- /dev/null
+++ b/internal/directory/types.go
@@ -0,0 +1,155 @@
+// Package directory keeps what a VM knows of the operators' configuration, the database servers, the
+// withdrawn failure domains, the other VMs and the owners of the services. News come from the
+// platform's store and from other VMs; a later state always replaces an earlier one.
+package directory
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+// Kind is a class of objects in the platform's store. Each is listed and watched by itself.
+type Kind uint8
+
+// Kinds of objects.
+const (
+	Configurations Kind = iota
+	Servers
+	Withdrawals
+	Fleet
+	KindCount
+)
+
+var kindNames = [...]string{"configuration", "servers", "withdrawals", "fleet"}
+
+// String returns the name of the kind for logs.
+func (k Kind) String() string { return kindNames[k] }
+
+// Consistency is what a route promises of its reads.
+type Consistency uint8
+
+// Consistencies of routes.
+const (
+	// Latest reads see every acknowledged write.
+	Latest Consistency = iota
+	// Bounded reads see every write that was acknowledged more than the maximum age ago.
+	Bounded
+	// OwnWrites reads are bounded and also see every write of their session.
+	OwnWrites
+)
+
+// Route says how the requests for one database are served.
+type Route struct {
+	Name, Database, Service string
+	Consistency             Consistency
+	MaxAge                  time.Duration // of Bounded and OwnWrites reads
+	Timeout                 time.Duration // of one statement; 0 means none
+	Objective               time.Duration // latency objective of a whole request
+	Priority                int           // 0 is the highest
+	Open                    bool          // no key is asked for
+}
+
+// Service is a database group.
+type Service struct {
+	Name           string
+	MaxConnections int     // of one server, from all callers together
+	WarmupRate     float64 // requests per second that a cold server takes from the whole fleet; 0 means no limit
+	SyncReplicas   int     // replicas that acknowledge a commit before the caller
+}
+
+// Workspace is a customer.
+type Workspace struct {
+	Name        string
+	Priority    int
+	Rate, Burst float64 // requests per second, and requests, of the whole fleet
+}
+
+// Configuration is one version of the operators' configuration.
+type Configuration struct {
+	Version    uint64
+	Routes     map[string]Route // by database
+	Services   map[string]Service
+	Workspaces map[string]Workspace // by name
+	Keys       map[string]string    // workspace by key
+	// TxIdle is how long a transaction may rest between two statements.
+	TxIdle time.Duration
+}
+
+// Server is a database server as it registered itself.
+type Server struct {
+	ID, Service, Address, Domain string
+	Slots                        int
+	Draining                     bool
+	Primary                      bool  // how the server sees itself
+	Born                         int64 // start of the process in Unix milliseconds; another value is another process
+	// Cold is set while the server is slow after its start.
+	Cold bool
+}
+
+// VM is one run of an entry VM.
+type VM struct {
+	Name        string
+	Incarnation uint64 // random, another one for each start
+	Address     string // IP:port for other VMs
+	Domain      string
+	Cores       float64
+	Leaving     bool
+}
+
+// Holder names one run of a VM.
+type Holder struct {
+	Name        string
+	Incarnation uint64
+}
+
+// Holder returns the name of this run.
+func (v VM) Holder() Holder { return Holder{v.Name, v.Incarnation} }
+
+// Tenure records which VM owns a service. It is changed by conditional updates only.
+type Tenure struct {
+	Service string
+	Epoch   uint64 // grows with each owner
+	Holder  Holder
+	Prior   Holder // the owner before
+	// Primary is the server that an owner has promoted or is about to promote; empty before the first change.
+	Primary string
+}
+
+// Entry is one object; exactly one of the pointers is set, none if the object could not be understood.
+type Entry struct {
+	Name          string
+	Revision      uint64
+	Deleted       bool
+	Configuration *Configuration
+	Server        *Server
+	VM            *VM
+	Tenure        *Tenure
+}
+
+// Listing is the state of a kind, or the changes of a kind, up to a revision of the store.
+type Listing struct {
+	Kind     Kind
+	Revision uint64
+	Entries  []Entry
+}
+
+// ErrHistoryGone means that the store no longer knows the changes since a revision.
+var ErrHistoryGone = errors.New("the store has dropped the history of this revision")
+
+// ErrConflict means that a conditional update met another revision.
+var ErrConflict = errors.New("the object has changed")
+
+// Store is the platform's store. Listings and updates are linearizable.
+type Store interface {
+	List(ctx context.Context, k Kind) (Listing, error)
+	// Watch waits for changes after a revision, at most for the given time.
+	Watch(ctx context.Context, k Kind, after uint64, wait time.Duration) (Listing, error)
+	// PutVM replaces the record of a VM.
+	PutVM(ctx context.Context, v VM) (Entry, error)
+	// DeleteVM removes the record of a VM.
+	DeleteVM(ctx context.Context, name string) error
+	// PutTenure replaces the record of a tenure if it has the given revision; 0 creates it. On
+	// ErrConflict the entry is the one that stands in the store.
+	PutTenure(ctx context.Context, t Tenure, revision uint64) (Entry, error)
+}
--- /dev/null
+++ b/internal/entryvm/handler.go
@@ -0,0 +1,102 @@
+package entryvm
+
+import (
+	"context"
+
+	"siskinrouter/internal/broker"
+	"siskinrouter/internal/peer"
+)
+
+// handler takes the messages of other VMs.
+type handler struct{ d *Daemon }
+
+// Hello implements peer.Handler.
+func (h *handler) Hello() peer.Hello {
+	return peer.Hello{VM: h.d.self, Changed: h.d.directory.View().Changed}
+}
+
+// Handle implements peer.Handler.
+func (h *handler) Handle(l *peer.Link, m peer.Message) {
+	d := h.d
+	switch {
+	case m.Run != nil:
+		h.run(l, m)
+	case m.End != nil:
+		for _, b := range d.owners.all() {
+			b.End(broker.StreamKey{Link: l.ID, Stream: m.End.Stream})
+		}
+	case m.Beat != nil:
+		grant := &peer.Grant{
+			Sent: m.Beat.Sent, Services: d.owners.answerBeat(m.Beat.Tenures), Changed: d.directory.View().Changed,
+		}
+		h.send(l, peer.Message{Grant: grant})
+		d.offerNews(l, m.Beat.Changed, false)
+	case m.Grant != nil:
+		d.owners.grant(l.Remote().Name, m.Grant.Sent, m.Grant.Services)
+		d.offerNews(l, m.Grant.Changed, false)
+	case m.Poll != nil:
+		h.send(l, peer.Message{Seq: m.Seq, Answer: true, Vote: &peer.Vote{Lost: d.owners.lost(m.Poll.Tenure)}})
+	case m.Release != nil:
+		d.owners.release(*m.Release)
+	case m.News != nil:
+		if d.directory.Replace(d.clock(), *m.News) {
+			d.log.Info("news of another VM", "from", l.Remote().Name, "kind", m.News.Kind, "revision", m.News.Revision)
+		}
+	case m.Hello != nil:
+		d.directory.Meet(d.clock(), m.Hello.VM)
+		d.owners.connected(m.Hello.VM)
+		d.offerNews(l, m.Hello.Changed, d.clock() > claimDelay)
+	case m.Promote != nil:
+		go h.promote(l, m)
+	}
+}
+
+func (h *handler) send(l *peer.Link, m peer.Message) {
+	if err := l.Send(m); err != nil {
+		h.d.log.Debug("message not sent", "to", l.Remote().Name, "error", err)
+	}
+}
+
+// run runs a statement of another VM.
+func (h *handler) run(l *peer.Link, m peer.Message) {
+	reply := func(r broker.Result) { h.send(l, peer.Message{Seq: m.Seq, Answer: true, Result: &r}) }
+	key := broker.StreamKey{Link: l.ID, Stream: m.Run.Stream}
+	if m.Run.First {
+		b := h.d.owners.broker(m.Run.Service)
+		if b == nil {
+			reply(broker.Result{Stream: m.Run.Stream, NotOwner: true})
+			return
+		}
+		b.Handle(key, *m.Run, reply)
+		return
+	}
+	for _, b := range h.d.owners.all() {
+		if b.Service == m.Run.Service && b.Has(key) {
+			b.Handle(key, *m.Run, reply)
+			return
+		}
+	}
+	reply(broker.RolledBack(m.Run.Stream))
+}
+
+// promote carries out an order for the owner of another service.
+func (h *handler) promote(l *peer.Link, m peer.Message) {
+	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
+	defer cancel()
+	done := &peer.Done{}
+	if err := h.d.owners.carryOut(ctx, m.Promote.Service, m.Promote.Server); err != nil {
+		h.d.log.Warn("order not carried out", "service", m.Promote.Service, "server", m.Promote.Server, "error", err)
+		done.Error = err.Error()
+	}
+	h.send(l, peer.Message{Seq: m.Seq, Answer: true, Done: done})
+}
+
+// Closed implements peer.Handler.
+func (h *handler) Closed(l *peer.Link) {
+	for _, b := range h.d.owners.all() {
+		b.EndLink(l.ID)
+	}
+}
+
+// Refused implements peer.Handler.
+func (h *handler) Refused(address string) { h.d.owners.refused(address) }
--- /dev/null
+++ b/internal/entryvm/preference.go
@@ -0,0 +1,43 @@
+package entryvm
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"siskinrouter/internal/directory"
+)
+
+// preference returns the VMs in the order in which they should own a service: VMs that own fewer
+// services come first, then those with more processor time, then the order of a hash, which spreads
+// services that are claimed at the same time.
+func preference(v *directory.View, service string, eligible func(directory.VM) bool) []string {
+	owned := map[string]float64{}
+	for _, t := range v.Tenures {
+		if vm, ok := v.VMs[t.Holder.Name]; ok && t.Service != service && vm.Holder() == t.Holder {
+			owned[t.Holder.Name]++
+		}
+	}
+	var vms []directory.VM
+	for _, vm := range v.VMs {
+		if !vm.Leaving && eligible(vm) {
+			vms = append(vms, vm)
+		}
+	}
+	slices.SortFunc(vms, func(a, b directory.VM) int {
+		return cmp.Or(
+			cmp.Compare((owned[a.Name]+1)/a.Cores, (owned[b.Name]+1)/b.Cores),
+			cmp.Compare(weight(a.Name, service), weight(b.Name, service)),
+			cmp.Compare(a.Name, b.Name),
+		)
+	})
+	names := make([]string, len(vms))
+	for i, vm := range vms {
+		names[i] = vm.Name
+	}
+	return names
+}
+
+// weight orders VMs differently for each service.
+func weight(vm, service string) uint64 { return xxhash.Sum64String(service + "/" + vm) }
--- /dev/null
+++ b/internal/entryvm/router.go
@@ -0,0 +1,144 @@
+package entryvm
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"siskinrouter/internal/broker"
+	"siskinrouter/internal/directory"
+	"siskinrouter/internal/entry"
+	"siskinrouter/internal/peer"
+)
+
+const (
+	// ownerPatience is how long a statement waits while its service has no owner or none that can be
+	// reached. A planned hand-over takes less; after the loss of an owner callers are refused and return.
+	ownerPatience = 300 * time.Millisecond
+	// ownerPoll is the time between two attempts in this time.
+	ownerPoll = 15 * time.Millisecond
+	// ownerSilence is the age up to which the last renewal of an owner shows that it can be reached.
+	ownerSilence = 1200 * time.Millisecond
+	// isolationTime is how long no owner can be reached until this VM sends its callers to others.
+	isolationTime = 1500 * time.Millisecond
+	// answerSlack is how long an owner's answer may take beyond the time limit of the statement.
+	answerSlack = 300 * time.Millisecond
+)
+
+// router finds the owner of a service for the sessions of this VM.
+type router struct {
+	d       *Daemon
+	streams atomic.Uint64
+	// aloneSince is when the last owner was reached, on the daemon's clock.
+	reachedAt atomic.Int64
+}
+
+// View implements entry.Router.
+func (r *router) View() *directory.View { return r.d.directory.View() }
+
+// NextStream implements entry.Router.
+func (r *router) NextStream() uint64 { return r.streams.Add(1) }
+
+// Run implements entry.Router.
+func (r *router) Run(req broker.Request) (broker.Result, entry.Place, error) {
+	began := r.d.clock()
+	budget := req.Budget
+	for {
+		place := r.place(req.Service)
+		if place != nil {
+			result, err := place.Do(req, req.Budget+answerSlack)
+			if err != peer.ErrNotSent && !result.NotOwner {
+				return result, place, err
+			}
+		}
+		waited := r.d.clock() - began
+		req.Budget = budget - waited
+		if waited >= min(ownerPatience, budget) {
+			r.d.log.Info("owner not reached", "id", req.Statement.ID, "service", req.Service, "waited", waited)
+			return broker.Result{}, nil, peer.ErrNotSent
+		}
+		time.Sleep(ownerPoll)
+	}
+}
+
+// place returns where the statements of a service run now, nil if this is not known.
+func (r *router) place(service string) entry.Place {
+	v := r.View()
+	t, ok := v.Tenures[service]
+	if !ok {
+		return nil
+	}
+	if t.Holder == r.d.self.Holder() {
+		if b := r.d.owners.broker(service); b != nil {
+			return local{b}
+		}
+		return nil
+	}
+	vm, ok := v.VMs[t.Holder.Name]
+	if !ok || vm.Holder() != t.Holder {
+		return nil
+	}
+	if l := r.d.peers.Get(vm.Address); l != nil {
+		return l
+	}
+	return nil
+}
+
+// reached returns how many services have an owner that this VM hears, and how many there are.
+func (r *router) reached() (reached, all int) {
+	v := r.View()
+	if v.Configuration == nil {
+		return 0, 0
+	}
+	for service := range v.Configuration.Services {
+		all++
+		t, ok := v.Tenures[service]
+		if !ok {
+			continue
+		}
+		if t.Holder == r.d.self.Holder() && r.d.owners.Valid(service) || r.d.owners.heard(t.Tenure, ownerSilence) {
+			reached++
+		}
+	}
+	return reached, all
+}
+
+// ready reports whether the VM is to get new callers: it reaches the owners of most services.
+func (r *router) ready() bool {
+	reached, all := r.reached()
+	return !r.d.leaving.Load() && all > 0 && 2*reached >= all
+}
+
+// look sends the callers of a VM that reaches no owner to other VMs.
+func (r *router) look() {
+	now := r.d.clock()
+	reached, _ := r.reached()
+	if reached > 0 {
+		r.reachedAt.Store(int64(now))
+		return
+	}
+	if now-time.Duration(r.reachedAt.Load()) > isolationTime && r.d.callers.Sessions() > 0 {
+		r.d.log.Warn("no owner reached; closing resting sessions", "sessions", r.d.callers.Sessions())
+		r.d.callers.Shed()
+	}
+}
+
+// local runs statements on this VM.
+type local struct{ b *broker.Broker }
+
+// Do implements entry.Place.
+func (l local) Do(req broker.Request, timeout time.Duration) (broker.Result, error) {
+	answer := make(chan broker.Result, 1)
+	l.b.Handle(broker.StreamKey{Stream: req.Stream}, req, func(r broker.Result) { answer <- r })
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	select {
+	case r := <-answer:
+		return r, nil
+	case <-ctx.Done():
+		return broker.Result{}, peer.ErrLost
+	}
+}
+
+// End implements entry.Place.
+func (l local) End(stream uint64) { l.b.End(broker.StreamKey{Stream: stream}) }
--- /dev/null
+++ b/internal/entryvm/settings.go
@@ -0,0 +1,47 @@
+// Package entryvm runs the daemon of an entry VM on the users' platform: sessions of callers, the owner's
+// duties, the links between VMs and the news from the store.
+package entryvm
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"siskinrouter/internal/broker"
+	"siskinrouter/internal/directory"
+	"siskinrouter/internal/entry"
+)
+
+// Settings of a daemon.
+type Settings struct {
+	Name           string
+	Domain         string   // failure domain
+	CallerAddress  string   // IP:port for callers
+	ProbeAddress   string   // IP:port for the balancer's readiness probe
+	PeerAddress    string   // IP:port for other VMs
+	MetricsAddress string   // IP:port; empty disables it
+	Seeds          []string // addresses of other VMs, for a start while the store is down
+	Cores          float64
+	MemoryBytes    int64
+	MaxFiles       int
+	Grace          time.Duration // from SIGTERM to SIGKILL
+	DrainTimeout   time.Duration // in which a leaving server must get no more requests
+	QuotaWindow    time.Duration
+}
+
+// Platform is what the daemon needs of its surroundings.
+type Platform struct {
+	Store    directory.Store
+	Dialer   broker.Dialer
+	Promoter Promoter
+	Protocol func(net.Conn) entry.Conn
+	// ReadyHandler serves the readiness probe; ready is asked for each probe.
+	ServeReady func(ln net.Listener, ready func() bool) error
+	// Reload reads the settings again.
+	Reload func() (Settings, error)
+}
+
+// Promoter makes a server the primary of its service.
+type Promoter interface {
+	Promote(ctx context.Context, service, server, holder string, token uint64) error
+}
--- /dev/null
+++ b/internal/lease/lease.go
@@ -0,0 +1,134 @@
+// Package lease decides which VM may act as the owner of a service. The owner is recorded in the
+// platform's store under an epoch; it acts only while a majority of the VMs has promised not to accept a
+// later epoch. Renewals go from VM to VM, so that the store may be away while an owner serves.
+//
+// Times are durations since an arbitrary start on a clock that also counts suspended time. The package
+// does no I/O. Its types are not safe for concurrent use.
+package lease
+
+import (
+	"slices"
+	"time"
+
+	"siskinrouter/internal/directory"
+)
+
+const (
+	// BeatInterval is the time between two renewals. Lifetime holds five, so that lost messages do not
+	// end a lease.
+	BeatInterval = 300 * time.Millisecond
+	// Lifetime is how long a promise binds, counted from the receipt of the renewal.
+	Lifetime = 1600 * time.Millisecond
+	// Margin is taken off the owner's side of a promise. It covers clocks whose rates differ by 1% and
+	// the time between the check of the lease and the arrival of a statement at a server.
+	Margin = 50 * time.Millisecond
+	// Suspicion is the silence after which an owner counts as lost. It exceeds three renewals.
+	Suspicion = time.Second
+)
+
+// promise binds a VM to an epoch.
+type promise struct {
+	epoch  uint64
+	holder directory.Holder
+	until  time.Duration
+	heard  time.Duration
+}
+
+// Member is the side of a VM that makes promises.
+type Member struct {
+	started  time.Duration
+	promises map[string]promise
+}
+
+// NewMember returns a VM without promises that started at now.
+func NewMember(now time.Duration) *Member {
+	return &Member{started: now, promises: map[string]promise{}}
+}
+
+// Beat answers the renewal of a tenure. dead reports whether a run of a VM is known to have ended,
+// which voids the promises made to it.
+func (m *Member) Beat(now time.Duration, t directory.Tenure, dead func(directory.Holder) bool) bool {
+	p, known := m.promises[t.Service]
+	if known && t.Epoch < p.epoch {
+		return false
+	}
+	if known && t.Epoch > p.epoch && !m.void(now, p, t.Holder, dead) {
+		return false
+	}
+	if !known && !m.forgotten(now, t, dead) {
+		return false
+	}
+	m.promises[t.Service] = promise{epoch: t.Epoch, holder: t.Holder, until: now + Lifetime, heard: now}
+	return true
+}
+
+// void reports whether a promise no longer stands in the way of another holder.
+func (m *Member) void(now time.Duration, p promise, holder directory.Holder, dead func(directory.Holder) bool) bool {
+	return now >= p.until || p.holder == holder || dead(p.holder)
+}
+
+// forgotten reports whether no promise of an earlier run of this VM can be in force.
+func (m *Member) forgotten(now time.Duration, t directory.Tenure, dead func(directory.Holder) bool) bool {
+	none := t.Prior == directory.Holder{} || t.Prior == t.Holder
+	return none || dead(t.Prior) || now-m.started >= Lifetime
+}
+
+// Release voids the promise to an epoch whose holder has stopped.
+func (m *Member) Release(service string, epoch uint64) {
+	if p, ok := m.promises[service]; ok && p.epoch == epoch {
+		p.until = 0
+		m.promises[service] = p
+	}
+}
+
+// Lost reports whether the owner of a service counts as lost: it has been silent for too long, counted
+// from when this VM learned of its tenure at the earliest, or is known to have ended.
+func (m *Member) Lost(now time.Duration, t directory.Tenure, learned time.Duration, dead func(directory.Holder) bool) bool {
+	if dead(t.Holder) {
+		return true
+	}
+	heard := learned
+	if p, ok := m.promises[t.Service]; ok && p.epoch >= t.Epoch {
+		heard = max(heard, p.heard)
+	}
+	return now-heard > Suspicion
+}
+
+// Tenure is the owner's side of a lease.
+type Tenure struct {
+	Record directory.Tenure
+	Since  time.Duration            // when this VM learned that it is the owner
+	grants map[string]time.Duration // by VM, when the renewal that it granted was sent
+}
+
+// NewTenure returns a tenure that no VM has granted yet.
+func NewTenure(now time.Duration, record directory.Tenure) *Tenure {
+	return &Tenure{Record: record, Since: now, grants: map[string]time.Duration{}}
+}
+
+// Grant records that a VM granted the renewal that was sent at the given time.
+func (t *Tenure) Grant(vm string, sent time.Duration) {
+	t.grants[vm] = max(t.grants[vm], sent)
+}
+
+// ValidUntil returns the end of the lease: a majority of the members has promised until then.
+func (t *Tenure) ValidUntil(members []string) time.Duration {
+	sent := make([]time.Duration, 0, len(members))
+	for _, name := range members {
+		if at, ok := t.grants[name]; ok {
+			sent = append(sent, at)
+		}
+	}
+	majority := len(members)/2 + 1
+	if len(sent) < majority {
+		return 0
+	}
+	slices.SortFunc(sent, func(a, b time.Duration) int { return int(b - a) })
+	return sent[majority-1] + Lifetime - Margin
+}
+
+// Heard reports whether the holder of a tenure was heard within the given time.
+func (m *Member) Heard(now time.Duration, t directory.Tenure, within time.Duration) bool {
+	p, ok := m.promises[t.Service]
+	return ok && p.epoch >= t.Epoch && now-p.heard <= within
+}
--- /dev/null
+++ b/internal/peer/link.go
@@ -0,0 +1,161 @@
+package peer
+
+import (
+	"bufio"
+	"encoding/gob"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"siskinrouter/internal/broker"
+	"siskinrouter/internal/directory"
+)
+
+const (
+	bufferBytes = 4 << 10
+	// writeTimeout bounds the time that a peer may leave the connection full.
+	writeTimeout = time.Second
+)
+
+// ErrNotSent means that a request did not reach the other VM.
+var ErrNotSent = errors.New("the link to the other VM is down")
+
+// ErrLost means that the link was lost, or the time ran out, before the answer arrived.
+var ErrLost = errors.New("no answer of the other VM")
+
+// Link is a connection to another VM.
+type Link struct {
+	ID      uint64 // unique on this VM, never 0
+	conn    net.Conn
+	writeMu sync.Mutex
+	w       *bufio.Writer
+	enc     *gob.Encoder
+	mu      sync.Mutex
+	waiting map[uint64]chan Message
+	remote  directory.VM
+	seq     uint64
+	down    bool
+}
+
+func newLink(id uint64, conn net.Conn) *Link {
+	w := bufio.NewWriterSize(conn, bufferBytes)
+	return &Link{ID: id, conn: conn, w: w, enc: gob.NewEncoder(w), waiting: map[uint64]chan Message{}}
+}
+
+// Remote returns the VM at the other end as it introduced itself.
+func (l *Link) Remote() directory.VM {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.remote
+}
+
+// Send sends a message that has no answer, or an answer.
+func (l *Link) Send(m Message) error {
+	l.writeMu.Lock()
+	defer l.writeMu.Unlock()
+	if err := l.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return err
+	}
+	err := l.enc.Encode(m)
+	if err == nil {
+		err = l.w.Flush()
+	}
+	if err != nil {
+		// A message that was sent in part makes the connection useless.
+		_ = l.conn.Close()
+	}
+	return err
+}
+
+// Call sends a request and waits for its answer.
+func (l *Link) Call(m Message, timeout time.Duration) (Message, error) {
+	answer := make(chan Message, 1)
+	l.mu.Lock()
+	if l.down {
+		l.mu.Unlock()
+		return Message{}, ErrNotSent
+	}
+	l.seq++
+	m.Seq = l.seq
+	l.waiting[m.Seq] = answer
+	l.mu.Unlock()
+	defer l.forget(m.Seq)
+	if err := l.Send(m); err != nil {
+		return Message{}, ErrLost
+	}
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	select {
+	case a, ok := <-answer:
+		if !ok {
+			return Message{}, ErrLost
+		}
+		return a, nil
+	case <-timer.C:
+		return Message{}, ErrLost
+	}
+}
+
+func (l *Link) forget(seq uint64) {
+	l.mu.Lock()
+	delete(l.waiting, seq)
+	l.mu.Unlock()
+}
+
+// Do runs a statement on the other VM.
+func (l *Link) Do(req broker.Request, timeout time.Duration) (broker.Result, error) {
+	m, err := l.Call(Message{Run: &req}, timeout)
+	if err != nil {
+		return broker.Result{}, err
+	}
+	if m.Result == nil {
+		return broker.Result{}, ErrLost
+	}
+	return *m.Result, nil
+}
+
+// End rolls a stream back on the other VM. A lost link rolls it back, too.
+func (l *Link) End(stream uint64) { _ = l.Send(Message{End: &End{Stream: stream}}) }
+
+// Close ends the link.
+func (l *Link) Close() { _ = l.conn.Close() }
+
+// read passes messages to handle until the connection ends. Answers go to those who wait for them.
+func (l *Link) read(handle func(*Link, Message)) error {
+	dec := gob.NewDecoder(bufio.NewReaderSize(l.conn, bufferBytes))
+	for {
+		var m Message
+		if err := dec.Decode(&m); err != nil {
+			return err
+		}
+		if m.Hello != nil {
+			l.mu.Lock()
+			l.remote = m.Hello.VM
+			l.mu.Unlock()
+		}
+		if !m.Answer {
+			handle(l, m)
+			continue
+		}
+		l.mu.Lock()
+		answer := l.waiting[m.Seq]
+		delete(l.waiting, m.Seq)
+		l.mu.Unlock()
+		if answer != nil {
+			answer <- m
+		}
+	}
+}
+
+// end wakes all who wait for an answer.
+func (l *Link) end() {
+	_ = l.conn.Close()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.down = true
+	for seq, answer := range l.waiting {
+		close(answer)
+		delete(l.waiting, seq)
+	}
+}
--- /dev/null
+++ b/internal/peer/peers.go
@@ -0,0 +1,161 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"siskinrouter/internal/netopt"
+)
+
+const (
+	// dialTimeout bounds the opening of a link; a round trip between failure domains takes milliseconds.
+	dialTimeout = 600 * time.Millisecond
+	// redialPause is the time between two attempts to reach a VM.
+	redialPause = 200 * time.Millisecond
+)
+
+// Handler receives what other VMs send.
+type Handler interface {
+	// Hello returns the introduction of this VM.
+	Hello() Hello
+	// Handle takes a message that is not an answer. It must not block.
+	Handle(l *Link, m Message)
+	// Closed is called when a link has ended.
+	Closed(l *Link)
+	// Refused is called when no process listens at the address of a VM.
+	Refused(address string)
+}
+
+// Peers holds the links of a VM.
+type Peers struct {
+	handler Handler
+	log     *log.Logger
+	mu      sync.Mutex
+	out     map[string]*outgoing // by address
+	nextID  uint64
+	closed  bool
+}
+
+// outgoing is a link that this VM opens.
+type outgoing struct {
+	link    *Link
+	dialing bool
+	retryAt time.Time
+}
+
+// New returns a VM's links.
+func New(h Handler, logger *log.Logger) *Peers {
+	return &Peers{handler: h, log: logger, out: map[string]*outgoing{}}
+}
+
+// Get returns the link to a VM, or nil while it is being opened.
+func (p *Peers) Get(address string) *Link {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	o := p.out[address]
+	if o == nil {
+		o = &outgoing{}
+		p.out[address] = o
+	}
+	if o.link == nil && !o.dialing && !p.closed && !time.Now().Before(o.retryAt) {
+		o.dialing = true
+		go p.dial(address, o)
+	}
+	return o.link
+}
+
+func (p *Peers) dial(address string, o *outgoing) {
+	conn, err := netopt.Dialer(dialTimeout).Dial("tcp", address)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		p.handler.Refused(address)
+	}
+	var l *Link
+	if err == nil {
+		l = p.add(conn)
+		hello := p.handler.Hello()
+		if err = l.Send(Message{Hello: &hello}); err != nil {
+			l.end()
+			l = nil
+		}
+	}
+	p.mu.Lock()
+	o.dialing = false
+	o.link = l
+	o.retryAt = time.Now().Add(redialPause)
+	p.mu.Unlock()
+	if l == nil {
+		p.log.Debug("VM not reached", "address", address, "error", err)
+		return
+	}
+	p.log.Info("link up", "address", address)
+	err = l.read(p.handler.Handle)
+	p.mu.Lock()
+	if o.link == l {
+		o.link = nil
+	}
+	p.mu.Unlock()
+	l.end()
+	p.handler.Closed(l)
+	p.log.Info("link down", "address", address, "error", err)
+}
+
+func (p *Peers) add(conn net.Conn) *Link {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.nextID++
+	return newLink(p.nextID, conn)
+}
+
+// Serve accepts the links of other VMs until the listener is closed.
+func (p *Peers) Serve(ln net.Listener) error {
+	for {
+		conn, err := ln.Accept()
+		if err != nil {
+			return err
+		}
+		l := p.add(conn)
+		hello := p.handler.Hello()
+		go func() {
+			if err := l.Send(Message{Hello: &hello}); err == nil {
+				_ = l.read(p.handler.Handle)
+			}
+			l.end()
+			p.handler.Closed(l)
+		}()
+	}
+}
+
+// Close ends the links that this VM has opened.
+func (p *Peers) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for _, o := range p.out {
+		if o.link != nil {
+			o.link.Close()
+		}
+	}
+}
+
+// Wait returns the link to a VM once it is open, or nil when ctx ends.
+func (p *Peers) Wait(ctx context.Context, address string) *Link {
+	for {
+		if l := p.Get(address); l != nil {
+			return l
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(pollInterval):
+		}
+	}
+}
+
+// pollInterval is the time between two looks for a link that is being opened.
+const pollInterval = 10 * time.Millisecond
--- /dev/null
+++ b/internal/placement/choose.go
@@ -0,0 +1,112 @@
+package placement
+
+import (
+	"time"
+
+	"siskinrouter/internal/directory"
+	"siskinrouter/internal/session"
+)
+
+const (
+	// behindPause is how long a replica that lacked a position is not asked optimistically again.
+	behindPause = 100 * time.Millisecond
+	// failurePause is how long a server whose connection broke is left, if another one can serve.
+	failurePause = 300 * time.Millisecond
+	// lagFactor and lagSlack estimate from the reported lag when a replica has surely applied a write.
+	lagFactor = 2
+	lagSlack  = 20 * time.Millisecond
+)
+
+// Server is what is known of a server when a statement is placed.
+type Server struct {
+	ID       string
+	Slots    int
+	Usable   bool // listed, not draining and not in a withdrawn failure domain
+	Primary  bool
+	Applied  session.Position
+	Lag      time.Duration // as the server reports it
+	Load     int           // statements that run or wait
+	Service  time.Duration // estimate of the time that a statement holds a slot
+	BehindAt time.Duration // when it last lacked a position
+	FailedAt time.Duration // when a connection to it last broke
+}
+
+// Need is what a read asks of its server.
+type Need struct {
+	Consistency directory.Consistency
+	MaxAge      time.Duration
+	Floor       session.Position // last write of the session
+	Writes      bool             // only the primary can serve it
+}
+
+// Choice is the server of a statement.
+type Choice struct {
+	Server string
+	After  session.Position // position that the server must have; zero at the primary
+}
+
+// required returns the position that a replica must have for a read. ok is false if only the primary
+// can serve it.
+func required(now time.Duration, h *History, n Need) (p session.Position, at time.Duration, ok bool) {
+	if n.Writes || n.Consistency == directory.Latest {
+		return p, 0, false
+	}
+	p, at, ok = h.Floor(now, n.MaxAge)
+	if !ok || n.Consistency != directory.OwnWrites {
+		return p, at, ok
+	}
+	latestAt, latest, _ := h.Latest()
+	floor := n.Floor
+	if floor != (session.Position{}) && floor.Term < latest.Term {
+		// What a new primary kept of an earlier term lies below all positions of its own term.
+		floor = latest
+	}
+	if floor.Compare(p) > 0 {
+		p, at = floor, latestAt
+	}
+	return p, at, true
+}
+
+// Choose returns the server that is expected to answer first. avoid names a server that has just failed
+// for this statement. ok is false if no server can serve it.
+func Choose(now time.Duration, servers []Server, h *History, n Need, avoid string) (Choice, bool) {
+	position, at, replicas := required(now, h, n)
+	var best Choice
+	bestWait := time.Duration(-1)
+	for _, s := range servers {
+		if !s.Usable || !s.Primary && (!replicas || !hasApplied(now, s, position, at)) {
+			continue
+		}
+		wait := expectedWait(now, s)
+		if s.ID == avoid {
+			wait += time.Second
+		}
+		if bestWait < 0 || wait < bestWait {
+			bestWait = wait
+			best = Choice{Server: s.ID}
+			if !s.Primary {
+				best.After = position
+			}
+		}
+	}
+	return best, bestWait >= 0
+}
+
+// hasApplied reports whether a replica has a position, or is expected to have it.
+func hasApplied(now time.Duration, s Server, p session.Position, at time.Duration) bool {
+	if s.Applied.Covers(p) {
+		return true
+	}
+	recentlyBehind := s.BehindAt > 0 && now-s.BehindAt < behindPause
+	return !recentlyBehind && s.Applied.Term == p.Term && now-at > lagFactor*s.Lag+lagSlack
+}
+
+// expectedWait estimates the time until the answer of one more statement.
+func expectedWait(now time.Duration, s Server) time.Duration {
+	rounds := float64(s.Load+1) / float64(max(s.Slots, 1))
+	wait := time.Duration(max(rounds, 1) * float64(s.Service))
+	if s.FailedAt > 0 && now-s.FailedAt < failurePause {
+		wait += failurePause
+	}
+	return wait
+}
