Recheck the store from owners; reload settings on SIGHUP

Owners list the kinds of operators and servers again every 1.2 to 2 s and pass news on. A SIGHUP ended the process.

--- a/internal/entryvm/daemon.go
+++ b/internal/entryvm/daemon.go
@@ -34,7 +34,7 @@
 
 // Daemon is one run of an entry VM.
 type Daemon struct {
-	settings  Settings
+	settings  atomic.Pointer[Settings]
 	platform  Platform
 	log       *log.Logger
 	registry  metrics.Registry
@@ -54,12 +54,13 @@
 // New returns a daemon that does not serve yet.
 func New(s Settings, p Platform, logger *log.Logger, registry metrics.Registry) *Daemon {
 	d := &Daemon{
-		settings: s, platform: p, log: logger, registry: registry, start: time.Now(),
+		platform: p, log: logger, registry: registry, start: time.Now(),
 		self: directory.VM{
 			Name: s.Name, Incarnation: rand.Uint64(), Address: s.PeerAddress, Domain: s.Domain, Cores: s.Cores,
 		},
 		directory: directory.New(), metrics: broker.NewMetrics(registry),
 	}
+	d.settings.Store(&s)
 	d.owners = newOwners(d)
 	d.peers = peer.New(&handler{d}, logger)
 	d.router = &router{d: d}
@@ -103,20 +104,21 @@
 
 // Run serves until ctx ends and then drains.
 func (d *Daemon) Run(ctx context.Context) error {
-	peerLn, err := listen(d.settings.PeerAddress)
+	settings := d.settings.Load()
+	peerLn, err := listen(settings.PeerAddress)
 	if err != nil {
 		return fmt.Errorf("listen for other VMs: %w", err)
 	}
-	callerLn, err := listen(d.settings.CallerAddress)
+	callerLn, err := listen(settings.CallerAddress)
 	if err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
 	}
-	probeLn, err := listen(d.settings.ProbeAddress)
+	probeLn, err := listen(settings.ProbeAddress)
 	if err != nil {
 		return fmt.Errorf("listen for readiness probes: %w", err)
 	}
 	d.log.Info("starting", "vm", d.self.Name, "incarnation", d.self.Incarnation, "domain", d.self.Domain,
-		"callers", d.settings.CallerAddress, "peers", d.settings.PeerAddress, "cores", d.self.Cores)
+		"callers", settings.CallerAddress, "peers", settings.PeerAddress, "cores", d.self.Cores)
 	duties, stop := context.WithCancel(context.Background())
 	defer stop()
 	var g run.Group
@@ -124,13 +126,20 @@
 	g.Add(func() error { return d.callers.Serve(callerLn) }, func(error) { _ = callerLn.Close() })
 	g.Add(func() error { return d.peers.Serve(peerLn) }, func(error) { _ = peerLn.Close() })
 	g.Add(func() error { return d.platform.ServeReady(probeLn, d.router.ready) }, func(error) { _ = probeLn.Close() })
-	if d.settings.MetricsAddress != "" {
-		d.addMetrics(&g)
+	if settings.MetricsAddress != "" {
+		d.addMetrics(&g, settings.MetricsAddress)
 	}
 	for k := range directory.KindCount {
 		d.addDuty(&g, duties, stop, func(ctx context.Context) error { return d.follow(ctx, k) })
 	}
-	for _, duty := range []func(context.Context) error{d.register, d.owners.run, d.sweep, d.joinSeeds} {
+	for k, interval := range map[directory.Kind]time.Duration{
+		directory.Configurations: configurationRecheck, directory.Servers: recheck, directory.Withdrawals: recheck,
+	} {
+		d.addDuty(&g, duties, stop, func(ctx context.Context) error { return d.recheckStore(ctx, k, interval) })
+	}
+	for _, duty := range []func(context.Context) error{
+		d.register, d.owners.run, d.sweep, d.joinSeeds, d.reloadSettings,
+	} {
 		d.addDuty(&g, duties, stop, duty)
 	}
 	err = g.Run()
@@ -146,10 +155,10 @@
 	g.Add(func() error { return duty(ctx) }, func(error) { stop() })
 }
 
-func (d *Daemon) addMetrics(g *run.Group) {
-	ln, err := listen(d.settings.MetricsAddress)
+func (d *Daemon) addMetrics(g *run.Group, address string) {
+	ln, err := listen(address)
 	if err != nil {
-		d.log.Warn("metrics are not served", "address", d.settings.MetricsAddress, "error", err)
+		d.log.Warn("metrics are not served", "address", address, "error", err)
 		return
 	}
 	mux := http.NewServeMux()
@@ -172,16 +181,17 @@
 	case <-duties.Done():
 		return nil
 	}
-	d.log.Info("draining", "sessions", d.callers.Sessions(), "grace", d.settings.Grace)
+	grace := d.settings.Load().Grace
+	d.log.Info("draining", "sessions", d.callers.Sessions(), "grace", grace)
 	d.leaving.Store(true)
-	handOver, cancel := context.WithTimeout(context.Background(), d.settings.Grace/2)
+	handOver, cancel := context.WithTimeout(context.Background(), grace/2)
 	go func() {
 		defer cancel()
 		d.owners.handOver(handOver)
 	}()
-	patience := time.Duration(drainShare * float64(d.settings.Grace))
+	patience := time.Duration(drainShare * float64(grace))
 	cut := d.callers.Drain(patience)
-	end := time.Now().Add(min(endingPatience, d.settings.Grace-patience))
+	end := time.Now().Add(min(endingPatience, grace-patience))
 	for time.Now().Before(end) && d.owning() {
 		time.Sleep(lookInterval / 4)
 	}
--- a/internal/entryvm/news.go
+++ b/internal/entryvm/news.go
@@ -3,6 +3,10 @@
 import (
 	"context"
 	"errors"
+	"os"
+	"os/signal"
+	"reflect"
+	"syscall"
 	"time"
 
 	"siskinrouter/internal/directory"
@@ -12,6 +16,11 @@
 const (
 	// watchWait is how long a watch waits for changes. Silent connections are found by keep-alive probes.
 	watchWait = 20 * time.Second
+	// configurationRecheck and recheck are the times between two listings by which an owner finds changes
+	// that its watch has missed: a watch can fall silent without an error. Owners pass the news on, so
+	// that a configuration is in force within three seconds on all VMs.
+	configurationRecheck = 1200 * time.Millisecond
+	recheck              = 2 * time.Second
 	// retryFirst and retryMost bound the pause after a call that the store has not answered well; each
 	// call is priced, also in an outage.
 	retryFirst = 100 * time.Millisecond
@@ -19,6 +28,8 @@
 	// newsDelay is how long another VM may lack news before it is sent them; it usually gets them
 	// from the store by itself.
 	newsDelay = 500 * time.Millisecond
+	// reloadInterval is the time between two looks for a settings file that changed without a signal.
+	reloadInterval = 5 * time.Second
 )
 
 // follow keeps a kind of objects up to date from the store.
@@ -60,6 +71,27 @@
 	}
 }
 
+// recheckStore lists the operators' and servers' objects again while this VM owns a service.
+func (d *Daemon) recheckStore(ctx context.Context, k directory.Kind, interval time.Duration) error {
+	for ctx.Err() == nil {
+		sleep(ctx, interval)
+		if !d.owners.any() {
+			continue
+		}
+		l, err := d.platform.Store.List(ctx, k)
+		if err != nil {
+			d.log.Warn("recheck failed", "kind", k, "error", err)
+			continue
+		}
+		before := d.directory.View().Changed[k]
+		d.directory.Replace(d.clock(), l)
+		if after := d.directory.View().Changed[k]; after != before {
+			d.log.Info("recheck found news", "kind", k, "revision", l.Revision)
+		}
+	}
+	return nil
+}
+
 // register records this run of the VM in the store.
 func (d *Daemon) register(ctx context.Context) error {
 	pause := retryFirst
@@ -84,7 +116,7 @@
 		if d.clock() < claimDelay {
 			continue
 		}
-		for _, address := range d.settings.Seeds {
+		for _, address := range d.settings.Load().Seeds {
 			if address != d.self.Address {
 				d.peers.Get(address)
 			}
@@ -94,6 +126,34 @@
 	return nil
 }
 
+// reloadSettings reads the settings again on a signal and looks for silent changes from time to time.
+func (d *Daemon) reloadSettings(ctx context.Context) error {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	tick := time.NewTicker(reloadInterval)
+	defer tick.Stop()
+	for {
+		cause := "changed file"
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-hup:
+			cause = "signal"
+		case <-tick.C:
+		}
+		next, err := d.platform.Reload()
+		if err != nil {
+			d.log.Warn("settings not reloaded", "cause", cause, "error", err)
+			continue
+		}
+		if cause == "signal" || !reflect.DeepEqual(next, *d.settings.Load()) {
+			d.log.Info("settings reloaded", "cause", cause, "seeds", len(next.Seeds), "grace", next.Grace)
+		}
+		d.settings.Store(&next)
+	}
+}
+
 // offerNews sends another VM what it lacks. It is given time to learn the latest news by itself.
 func (d *Daemon) offerNews(l *peer.Link, known [directory.KindCount]uint64, atOnce bool) {
 	for k := range directory.KindCount {
--- a/internal/entryvm/owners.go
+++ b/internal/entryvm/owners.go
@@ -474,3 +474,10 @@
 	defer o.mu.Unlock()
 	return o.member.Heard(o.d.bootClock(), t, within)
 }
+
+// any reports whether this VM owns a service.
+func (o *owners) any() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.tenures) > 0
+}
