--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -239,7 +239,7 @@
 	}
 	choice, ok := placement.Choose(now, b.candidates(), &b.history, need, w.avoid)
 	if !ok {
-		if b.changing || b.primary == "" {
+		if b.awaitsPrimary() {
 			b.parked = append(b.parked, w)
 			return nil, nil
 		}
@@ -256,6 +256,15 @@
 	return start, append(replies, more...)
 }
 
+// awaitsPrimary reports whether the group is about to have another primary. The mutex is held.
+func (b *Broker) awaitsPrimary() bool {
+	if b.changing || b.primary == "" {
+		return true
+	}
+	now := b.Clock()
+	return placement.Next(now, b.group(now)).Promote != ""
+}
+
 // writes reports whether only the primary can serve the stream.
 func (w *work) writes() bool {
 	switch {
--- a/internal/directory/types.go
+++ b/internal/directory/types.go
@@ -111,7 +111,8 @@
 	Service string
 	Epoch   uint64 // grows with each owner
 	Holder  Holder
-	Prior   Holder // the owner before
+	// Priors are the owners before that were not known to have ended when this tenure began.
+	Priors []Holder
 	// Primary is the server that an owner has promoted or is about to promote; empty before the first change.
 	Primary string
 }
--- a/internal/entryvm/owners.go
+++ b/internal/entryvm/owners.go
@@ -133,8 +133,9 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	var granted []string
+	tenures := o.d.directory.View().Tenures
 	for _, t := range records {
-		if o.member.Beat(now, t, o.dead) {
+		if o.member.Beat(now, t, tenures[t.Service].Epoch, o.dead) {
 			granted = append(granted, t.Service)
 		}
 	}
@@ -224,7 +225,7 @@
 			t.Record = record.Tenure
 			continue
 		}
-		o.d.log.Info("tenure begins", "service", service, "epoch", record.Epoch, "prior", record.Prior.Name,
+		o.d.log.Info("tenure begins", "service", service, "epoch", record.Epoch, "priors", len(record.Priors),
 			"primary", record.Primary)
 		o.tenures[service] = lease.NewTenure(o.d.bootClock(), record.Tenure)
 		o.brokers[service] = broker.New(o.d.brokerConfig(service), record.Primary)
@@ -280,12 +281,17 @@
 // look claims services whose owner is lost.
 func (o *owners) look(ctx context.Context) {
 	v := o.d.directory.View()
-	if v.Configuration == nil || o.d.leaving.Load() || o.d.clock() < claimDelay {
+	if v.Configuration == nil || o.d.leaving.Load() {
 		return
 	}
 	now := o.d.clock()
 	for service := range v.Configuration.Services {
 		record, claimed := v.Tenures[service]
+		// A VM that has started again resumes its services at once; the others wait for it.
+		resumed := record.Holder.Name == o.d.self.Name
+		if now < claimDelay && !resumed {
+			continue
+		}
 		vacant := !claimed || o.lost(record.Tenure)
 		o.mu.Lock()
 		if !vacant || record.Holder == o.d.self.Holder() {
@@ -298,7 +304,8 @@
 			since = now
 			o.vacantSince[service] = now
 		}
-		due := now-since >= time.Duration(o.rank(v, service))*rankDelay && !o.claiming[service]
+		due := resumed || now-since >= time.Duration(o.rank(v, service))*rankDelay
+		due = due && !o.claiming[service]
 		if due {
 			o.claiming[service] = true
 		}
@@ -324,12 +331,12 @@
 		delete(o.claiming, service)
 		o.mu.Unlock()
 	}()
-	if record.Epoch > 0 && !o.majorityLost(record.Tenure) {
+	if record.Epoch > 0 && record.Holder.Name != o.d.self.Name && !o.majorityLost(record.Tenure) {
 		return
 	}
-	next := directory.Tenure{
-		Service: service, Epoch: record.Epoch + 1, Holder: o.d.self.Holder(), Prior: record.Holder, Primary: record.Primary,
-	}
+	o.mu.Lock()
+	next := successor(record.Tenure, service, o.d.self.Holder(), o.dead)
+	o.mu.Unlock()
 	o.d.log.Info("claiming service", "service", service, "epoch", next.Epoch, "prior", record.Holder.Name)
 	o.write(ctx, next, record.Revision)
 }
@@ -457,10 +464,9 @@
 		if len(order) == 0 {
 			continue
 		}
-		next := record.Tenure
-		next.Epoch++
-		next.Prior = record.Holder
-		next.Holder = v.VMs[order[0]].Holder()
+		o.mu.Lock()
+		next := successor(record.Tenure, service, v.VMs[order[0]].Holder(), o.dead)
+		o.mu.Unlock()
 		o.d.log.Info("handing over", "service", service, "epoch", next.Epoch, "to", next.Holder.Name)
 		if err := o.write(ctx, next, record.Revision); err != nil {
 			o.d.log.Warn("service not handed over", "service", service, "error", err)
--- a/internal/entryvm/preference.go
+++ b/internal/entryvm/preference.go
@@ -41,3 +41,14 @@
 
 // weight orders VMs differently for each service.
 func weight(vm, service string) uint64 { return xxhash.Sum64String(service + "/" + vm) }
+
+// successor returns the tenure that follows another one. Earlier owners that have ended are forgotten.
+func successor(t directory.Tenure, service string, holder directory.Holder, dead func(directory.Holder) bool) directory.Tenure {
+	next := directory.Tenure{Service: service, Epoch: t.Epoch + 1, Holder: holder, Primary: t.Primary}
+	for _, h := range append(slices.Clone(t.Priors), t.Holder) {
+		if h != (directory.Holder{}) && h != holder && !dead(h) && !slices.Contains(next.Priors, h) {
+			next.Priors = append(next.Priors, h)
+		}
+	}
+	return next
+}
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -45,9 +45,10 @@
 	return &Member{started: now, promises: map[string]promise{}}
 }
 
-// Beat answers the renewal of a tenure. dead reports whether a run of a VM is known to have ended,
+// Beat answers the renewal of a tenure. recorded is the epoch of the service's record as this VM has
+// read it since its start, 0 if it has not. dead reports whether a run of a VM is known to have ended,
 // which voids the promises made to it.
-func (m *Member) Beat(now time.Duration, t directory.Tenure, dead func(directory.Holder) bool) bool {
+func (m *Member) Beat(now time.Duration, t directory.Tenure, recorded uint64, dead func(directory.Holder) bool) bool {
 	p, known := m.promises[t.Service]
 	if known && t.Epoch < p.epoch {
 		return false
@@ -55,7 +56,7 @@
 	if known && t.Epoch > p.epoch && !m.void(now, p, t.Holder, dead) {
 		return false
 	}
-	if !known && !m.forgotten(now, t, dead) {
+	if !known && !m.forgotten(now, t, recorded, dead) {
 		return false
 	}
 	m.promises[t.Service] = promise{epoch: t.Epoch, holder: t.Holder, until: now + Lifetime, heard: now}
@@ -67,10 +68,16 @@
 	return now >= p.until || p.holder == holder || dead(p.holder)
 }
 
-// forgotten reports whether no promise of an earlier run of this VM can be in force.
-func (m *Member) forgotten(now time.Duration, t directory.Tenure, dead func(directory.Holder) bool) bool {
-	none := t.Prior == directory.Holder{} || t.Prior == t.Holder
-	return none || dead(t.Prior) || now-m.started >= Lifetime
+// forgotten reports whether no promise of an earlier run of this VM can be in force: its time has passed,
+// or the record shows that this is the latest tenure and that all earlier owners have ended.
+func (m *Member) forgotten(now time.Duration, t directory.Tenure, recorded uint64, dead func(directory.Holder) bool) bool {
+	if now-m.started >= Lifetime {
+		return true
+	}
+	if recorded != t.Epoch {
+		return false
+	}
+	return !slices.ContainsFunc(t.Priors, func(h directory.Holder) bool { return !dead(h) })
 }
 
 // Release voids the promise to an epoch whose holder has stopped.
--- /dev/null
+++ b/internal/lease/lease_test.go
@@ -0,0 +1,144 @@
+package lease
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"siskinrouter/internal/directory"
+)
+
+const service = "ledger"
+
+func holder(name string, incarnation uint64) directory.Holder {
+	return directory.Holder{Name: name, Incarnation: incarnation}
+}
+
+func nobodyDead(directory.Holder) bool { return false }
+
+// Guards against two VMs that act as the owner of a service at the same time: the successor must not
+// obtain a majority while promises to its predecessor bind.
+func TestSuccessorWaitsForPromises(t *testing.T) {
+	is := is.New(t)
+	m := NewMember(0)
+	first := directory.Tenure{Service: service, Epoch: 1, Holder: holder("a", 1)}
+	second := directory.Tenure{Service: service, Epoch: 2, Holder: holder("b", 1), Priors: []directory.Holder{first.Holder}}
+	now := 10 * time.Second
+	is.True(m.Beat(now, first, 1, nobodyDead))
+	is.True(!m.Beat(now+Lifetime-time.Millisecond, second, 2, nobodyDead))
+	is.True(m.Beat(now+Lifetime, second, 2, nobodyDead))
+	is.True(!m.Beat(now+Lifetime, first, 1, nobodyDead)) // an earlier epoch never returns
+}
+
+// Guards against a wait after an owner whose end is known, and against a promise that outlives its release.
+func TestPromiseEndsWithHolder(t *testing.T) {
+	is := is.New(t)
+	first := directory.Tenure{Service: service, Epoch: 1, Holder: holder("a", 1)}
+	second := directory.Tenure{Service: service, Epoch: 2, Holder: holder("b", 1), Priors: []directory.Holder{first.Holder}}
+	dead := func(h directory.Holder) bool { return h == first.Holder }
+	m := NewMember(0)
+	is.True(m.Beat(time.Second, first, 1, nobodyDead))
+	is.True(m.Beat(time.Second, second, 2, dead))
+	m = NewMember(0)
+	is.True(m.Beat(time.Second, first, 1, nobodyDead))
+	m.Release(service, 1)
+	is.True(m.Beat(time.Second, second, 2, nobodyDead))
+}
+
+// Guards against a VM that has lost its promises in a restart and makes contradicting ones.
+func TestRestartedMemberWaits(t *testing.T) {
+	is := is.New(t)
+	second := directory.Tenure{Service: service, Epoch: 2, Holder: holder("b", 1), Priors: []directory.Holder{holder("a", 1)}}
+	m := NewMember(time.Minute)
+	is.True(!m.Beat(time.Minute+time.Millisecond, second, 2, nobodyDead))
+	is.True(m.Beat(time.Minute+Lifetime, second, 2, nobodyDead))
+
+	first := directory.Tenure{Service: service, Epoch: 1, Holder: holder("a", 1)}
+	m = NewMember(time.Minute)
+	is.True(!m.Beat(time.Minute, first, 2, nobodyDead)) // a later tenure is recorded
+	is.True(!m.Beat(time.Minute, first, 0, nobodyDead)) // the record is not known
+	is.True(m.Beat(time.Minute, first, 1, nobodyDead))  // the first tenure of all
+}
+
+// Guards against a lease that counts a renewal of a minority.
+func TestLeaseNeedsMajority(t *testing.T) {
+	is := is.New(t)
+	tenure := NewTenure(0, directory.Tenure{Service: service, Epoch: 1})
+	members := []string{"a", "b", "c", "d"}
+	tenure.Grant("a", time.Second)
+	tenure.Grant("b", 2*time.Second)
+	is.Equal(tenure.ValidUntil(members), time.Duration(0))
+	tenure.Grant("c", 3*time.Second)
+	is.Equal(tenure.ValidUntil(members), time.Second+Lifetime-Margin)
+}
+
+// Guards against a new owner that counts as lost before its first renewal can have arrived.
+func TestNewTenureIsNotLost(t *testing.T) {
+	is := is.New(t)
+	m := NewMember(0)
+	tenure := directory.Tenure{Service: service, Epoch: 3, Holder: holder("a", 1)}
+	learned := time.Minute
+	is.True(!m.Lost(learned+Suspicion, tenure, learned, nobodyDead))
+	is.True(m.Lost(learned+Suspicion+1, tenure, learned, nobodyDead))
+	is.True(m.Lost(learned, tenure, learned, func(directory.Holder) bool { return true }))
+}
+
+// Guards against overlapping leases under delayed and lost renewals, restarts of members and any
+// order of claims.
+func TestLeasesDoNotOverlap(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const vms = 5
+		var names []string
+		members := map[string]*Member{}
+		read := map[string]uint64{} // epoch that a VM has read since its start
+		for i := range vms {
+			name := fmt.Sprintf("vm%d", i)
+			names = append(names, name)
+			members[name] = NewMember(0)
+		}
+		now := 10 * time.Second
+		current := directory.Tenure{Service: service, Epoch: 1, Holder: holder(names[0], 1)}
+		tenures := []*Tenure{NewTenure(now, current)}
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			switch rapid.SampledFrom([]string{"beat", "beat", "beat", "claim", "restart", "wait"}).Draw(t, "step") {
+			case "beat":
+				tenure := rapid.SampledFrom(tenures).Draw(t, "tenure")
+				sent := now
+				for _, name := range names {
+					now += time.Duration(rapid.IntRange(0, 20).Draw(t, "delay")) * time.Millisecond
+					lost := rapid.Bool().Draw(t, "lost")
+					if !lost && members[name].Beat(now, tenure.Record, read[name], nobodyDead) {
+						tenure.Grant(name, sent)
+					}
+				}
+			case "claim":
+				next := directory.Tenure{
+					Service: service, Epoch: current.Epoch + 1,
+					Priors: append(slices.Clone(current.Priors), current.Holder),
+					Holder: holder(rapid.SampledFrom(names).Draw(t, "holder"), current.Epoch+1),
+				}
+				current = next
+				tenures = append(tenures, NewTenure(now, next))
+			case "restart":
+				name := rapid.SampledFrom(names).Draw(t, "restarted")
+				members[name] = NewMember(now)
+				read[name] = current.Epoch
+			case "wait":
+				now += time.Duration(rapid.IntRange(1, 2000).Draw(t, "wait")) * time.Millisecond
+			}
+			valid := 0
+			for _, tenure := range tenures {
+				if now < tenure.ValidUntil(names) {
+					valid++
+				}
+			}
+			if valid > 1 {
+				t.Fatalf("%d leases are valid at %s", valid, now)
+			}
+		}
+	})
+}
--- a/internal/peer/peers.go
+++ b/internal/peer/peers.go
@@ -38,6 +38,7 @@
 	log     *log.Logger
 	mu      sync.Mutex
 	out     map[string]*outgoing // by address
+	open    map[uint64]*Link     // all links, those of other VMs included
 	nextID  uint64
 	closed  bool
 }
@@ -51,7 +52,7 @@
 
 // New returns a VM's links.
 func New(h Handler, logger *log.Logger) *Peers {
-	return &Peers{handler: h, log: logger, out: map[string]*outgoing{}}
+	return &Peers{handler: h, log: logger, out: map[string]*outgoing{}, open: map[uint64]*Link{}}
 }
 
 // Get returns the link to a VM, or nil while it is being opened.
@@ -80,7 +81,7 @@
 		l = p.add(conn)
 		hello := p.handler.Hello()
 		if err = l.Send(Message{Hello: &hello}); err != nil {
-			l.end()
+			p.ended(l)
 			l = nil
 		}
 	}
@@ -100,8 +101,7 @@
 		o.link = nil
 	}
 	p.mu.Unlock()
-	l.end()
-	p.handler.Closed(l)
+	p.ended(l)
 	p.log.Info("link down", "address", address, "error", err)
 }
 
@@ -109,7 +109,21 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.nextID++
-	return newLink(p.nextID, conn)
+	l := newLink(p.nextID, conn)
+	p.open[l.ID] = l
+	if p.closed {
+		l.Close()
+	}
+	return l
+}
+
+// ended forgets a link whose connection is closed.
+func (p *Peers) ended(l *Link) {
+	l.end()
+	p.mu.Lock()
+	delete(p.open, l.ID)
+	p.mu.Unlock()
+	p.handler.Closed(l)
 }
 
 // Serve accepts the links of other VMs until the listener is closed.
@@ -125,21 +139,18 @@
 			if err := l.Send(Message{Hello: &hello}); err == nil {
 				_ = l.read(p.handler.Handle)
 			}
-			l.end()
-			p.handler.Closed(l)
+			p.ended(l)
 		}()
 	}
 }
 
-// Close ends the links that this VM has opened.
+// Close ends all links.
 func (p *Peers) Close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closed = true
-	for _, o := range p.out {
-		if o.link != nil {
-			o.link.Close()
-		}
+	for _, l := range p.open {
+		l.Close()
 	}
 }
 
