Catch up before a planned step down; fix races on a server's description

TestPrimaryDrains lost an acknowledged write when the old primary no longer sent its log after stepping down. The successor now catches up first.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -49,9 +49,11 @@
 	recorded  string
 	changedAt time.Duration
 	changing  bool
-	txs       map[StreamKey]*tx
-	nextID    uint64
-	works     map[uint64]*work
+	// quietAt is when the last statement at the old primary ended during a planned change.
+	quietAt time.Duration
+	txs     map[StreamKey]*tx
+	nextID  uint64
+	works   map[uint64]*work
 	// parked holds statements that need the primary while there is none.
 	parked     []*work
 	limits     map[string]*rate.Limiter
@@ -63,19 +65,21 @@
 
 // server is one server of the group.
 type server struct {
-	directory.Server
-	usable    bool
-	queue     *fairqueue.Queue
-	pool      pool
-	running   int // statements that bypass the queue included
-	status    Status
-	heard     bool
-	reachable bool
-	heardAt   time.Duration
-	behindAt  time.Duration
-	failedAt  time.Duration
-	service   time.Duration // running mean of the time from sending a statement to its answer
-	stop      chan struct{}
+	directory.Server // as it was first listed; fields that change are kept below
+	usable           bool
+	slots            int
+	queue            *fairqueue.Queue
+	pool             pool
+	running          int // statements that bypass the queue included
+	status           Status
+	heard            bool
+	reachable        bool
+	heardAt          time.Duration
+	polledAt         time.Duration // when the query was sent that brought status
+	behindAt         time.Duration
+	failedAt         time.Duration
+	service          time.Duration // running mean of the time from sending a statement to its answer
+	stop             chan struct{}
 }
 
 // work is a statement that waits or runs.
@@ -284,7 +288,7 @@
 	for _, s := range b.servers {
 		waiting, _ := s.queue.Len()
 		all = append(all, placement.Server{
-			ID: s.ID, Slots: s.Slots, Usable: s.usable, Primary: s.ID == b.primary && !b.changing,
+			ID: s.ID, Slots: s.slots, Usable: s.usable, Primary: s.ID == b.primary && !b.changing,
 			Applied: s.status.Applied, Lag: s.status.Lag, Load: s.running + waiting, Service: s.service,
 			BehindAt: s.behindAt, FailedAt: s.failedAt,
 		})
--- a/internal/broker/run.go
+++ b/internal/broker/run.go
@@ -111,7 +111,9 @@
 	sent := b.Clock()
 	deadline := time.Now().Add(w.deadline - sent)
 	if w.retryable() {
+		b.mu.Lock()
 		patience := max(firstTry, readPatience*c.server.service)
+		b.mu.Unlock()
 		deadline = time.Now().Add(min(patience, w.deadline-sent))
 	}
 	before := c.prepare(w.req)
--- a/internal/broker/servers.go
+++ b/internal/broker/servers.go
@@ -16,7 +16,7 @@
 	// probeInterval is the time between two status queries of a server; each takes a slot.
 	probeInterval = 500 * time.Millisecond
 	// urgentInterval is used while a server does not answer, or while the primary is being replaced.
-	urgentInterval = 150 * time.Millisecond
+	urgentInterval = 100 * time.Millisecond
 	// probeTimeout bounds a status query. It waits behind the statements in the server's own queue.
 	probeTimeout = 600 * time.Millisecond
 	// probeName is the name under which status queries connect.
@@ -61,7 +61,7 @@
 	}
 	if known == nil {
 		known = &server{
-			service: firstService, stop: make(chan struct{}),
+			Server: d, service: firstService, stop: make(chan struct{}),
 			queue: fairqueue.New(fairqueue.Limits{
 				Slots: d.Slots + slotSurplus, Waiting: maxWaiting, PerWorkspace: maxWaitingPerWorkspace,
 			}),
@@ -77,8 +77,8 @@
 		b.Log.Info("server usable", "service", b.Service, "server", id, "usable", usable, "draining", d.Draining,
 			"withdrawn", v.Withdrawn[d.Domain], "revision", v.Revisions[directory.Servers])
 	}
-	known.Server = d
 	known.usable = usable
+	known.slots = d.Slots
 	known.pool.limit = max(service.MaxConnections-reservedConns, 1)
 	known.queue.SetSlots(d.Slots + slotSurplus)
 }
@@ -189,6 +189,7 @@
 	if a.Code == statement.OK {
 		applied := s.status.Applied
 		s.status = st
+		s.polledAt = sent
 		s.heard = true
 		if applied.Compare(st.Applied) > 0 && applied.Term == st.Applied.Term {
 			s.status.Applied = applied
--- a/internal/broker/succession.go
+++ b/internal/broker/succession.go
@@ -6,7 +6,6 @@
 
 	"siskinrouter/internal/lease"
 	"siskinrouter/internal/placement"
-	"siskinrouter/internal/session"
 	"siskinrouter/internal/statement"
 )
 
@@ -165,27 +164,26 @@
 	}
 	b.abortAtPrimary()
 	b.mu.Lock()
-	old := b.servers[b.primary]
-	b.mu.Unlock()
-	if old == nil || old.ID == target {
+	b.quietAt = b.Clock()
+	s := b.servers[b.primary]
+	if s == nil || s.ID == target {
+		b.mu.Unlock()
 		return
 	}
-	a, c, err := b.control(old.Server, nil, statement.Command{Kind: statement.StepDown, Term: old.status.Term + 1})
+	old, term := s.Server, s.status.Term
+	b.mu.Unlock()
+	// The new primary catches up while the old one still leads, because a server that has stepped down
+	// may no longer send its log.
+	end = b.Clock() + quiesceTime
+	for b.Clock() < end && !b.caughtUp(old.ID, target) {
+		time.Sleep(pollInterval)
+	}
+	a, c, err := b.control(old, nil, statement.Command{Kind: statement.StepDown, Term: term + 1})
 	if c != nil {
 		_ = c.Close()
 	}
 	if err != nil || a.Code != statement.OK {
 		b.Log.Warn("step down failed", "service", b.Service, "server", old.ID, "code", a.Code, "error", err)
-		return
-	}
-	st, err := b.Dialer.ParseStatus(a)
-	if err != nil {
-		b.Log.Warn("step down answered without a status", "service", b.Service, "server", old.ID, "error", err)
-		return
-	}
-	end = b.Clock() + quiesceTime
-	for b.Clock() < end && !b.received(target, st.Received) {
-		time.Sleep(pollInterval)
 	}
 }
 
@@ -220,12 +218,16 @@
 	}
 }
 
-// received reports whether a server has received the log up to a position.
-func (b *Broker) received(id string, p session.Position) bool {
+// caughtUp reports whether a server has received the log of the primary, as status queries since the
+// start of the change have shown.
+func (b *Broker) caughtUp(primary, target string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := b.servers[id]
-	return s != nil && s.status.Received.Offset >= p.Offset
+	p, t := b.servers[primary], b.servers[target]
+	if p == nil || t == nil {
+		return true
+	}
+	return p.polledAt > b.quietAt && t.status.Received.Covers(p.status.Received)
 }
 
 // awaitLead waits until a server reports that it leads.
