Notice lost owners and primaries sooner; leases also bind open transactions

A transaction that was open when the lease ended could still commit at a primary that a new owner had replaced.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -58,6 +58,7 @@
 	parked     []*work
 	weights    map[string]int
 	closed     bool
+	closedAt   time.Duration
 	done       chan struct{}
 	background sync.WaitGroup
 }
@@ -126,6 +127,7 @@
 		return
 	}
 	b.closed = true
+	b.closedAt = b.Clock()
 	close(b.done)
 	var refused []*work
 	for id, w := range b.works {
@@ -283,10 +285,8 @@
 		return true
 	case w.req.Begin == statement.BeginRead:
 		return false
-	case w.req.Statement.Kind == statement.Execute:
-		return w.req.Shape.Writes
 	}
-	return w.req.Statement.Kind == statement.Write
+	return w.req.Writes()
 }
 
 // candidates describes the servers for a placement. The mutex is held.
--- a/internal/broker/run.go
+++ b/internal/broker/run.go
@@ -12,6 +12,8 @@
 const (
 	// dialTimeout bounds the opening of a connection, which takes some ten milliseconds and a slot.
 	dialTimeout = 700 * time.Millisecond
+	// closingTime is how long open transactions may continue after the service was handed over.
+	closingTime = 700 * time.Millisecond
 	// rollBackTimeout bounds the rollback of a transaction whose caller has left.
 	rollBackTimeout = 300 * time.Millisecond
 	// firstTry is the least time that a read waits for the answer of its first server; a server that
@@ -99,13 +101,24 @@
 
 // run runs a statement and handles its outcome.
 func (b *Broker) run(w *work, c *conn) {
-	if w.tx == nil && !b.Tenure.Valid(b.Service) {
+	if !b.mayRun() {
 		b.finish(w, c, outcome{err: errors.New("the lease of the service has ended")})
 		return
 	}
 	b.finish(w, c, b.exchange(w, c))
 }
 
+// mayRun reports whether this VM may use the service's servers: it holds the lease, or has handed the
+// service over so recently that its successor does not replace the primary without it.
+func (b *Broker) mayRun() bool {
+	if b.Tenure.Valid(b.Service) {
+		return true
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.closed && b.Clock()-b.closedAt < closingTime
+}
+
 // exchange brings the connection to the state of the caller's session and runs the statement.
 func (b *Broker) exchange(w *work, c *conn) outcome {
 	sent := b.Clock()
@@ -211,6 +224,7 @@
 		s.failedAt = now
 		return
 	}
+	s.heardAt = now
 	if o.ran {
 		s.service += (now - o.sent - s.service) >> meanShift
 	}
--- a/internal/broker/servers.go
+++ b/internal/broker/servers.go
@@ -11,12 +11,14 @@
 )
 
 const (
-	// probeInterval is the time between two status queries of a server; each takes a slot.
-	probeInterval = 500 * time.Millisecond
+	// primaryInterval and replicaInterval are the times between two status queries of a server; each takes
+	// a slot and is priced. The loss of a primary has to be noticed sooner.
+	primaryInterval = 300 * time.Millisecond
+	replicaInterval = 700 * time.Millisecond
 	// urgentInterval is used while a server does not answer, or while the primary is being replaced.
 	urgentInterval = 100 * time.Millisecond
 	// probeTimeout bounds a status query. It waits behind the statements in the server's own queue.
-	probeTimeout = 600 * time.Millisecond
+	probeTimeout = 500 * time.Millisecond
 	// probeName is the name under which status queries connect.
 	probeName = "siskinrouter"
 	// firstService is the estimate of a service time before any was measured.
@@ -129,7 +131,10 @@
 	if !s.reachable || b.changing || b.primary == "" {
 		return urgentInterval
 	}
-	return probeInterval
+	if s.ID == b.primary {
+		return primaryInterval
+	}
+	return replicaInterval
 }
 
 // probeOnce asks a server for its status over c, or over a new connection, and returns the connection.
--- a/internal/broker/succession.go
+++ b/internal/broker/succession.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"siskinrouter/internal/lease"
 	"siskinrouter/internal/placement"
 	"siskinrouter/internal/statement"
 )
@@ -17,6 +16,9 @@
 	orderTimeout = 3 * time.Second
 	// leadTimeout bounds the time from the order until the server leads; some hundred milliseconds are usual.
 	leadTimeout = 4 * time.Second
+	// closingMargin is added to the closing time of an earlier owner, which may learn later than this VM
+	// that its tenure has ended.
+	closingMargin = 300 * time.Millisecond
 	// pollInterval is the time between two looks at the state during a change.
 	pollInterval = 20 * time.Millisecond
 )
@@ -107,8 +109,9 @@
 	if step.Planned {
 		b.quiesce(step.Promote)
 	} else {
-		// An earlier owner may still use a primary that this VM cannot reach until its lease has surely ended.
-		b.sleepUntil(b.since + lease.Lifetime)
+		// An earlier owner that handed the service over may still finish transactions at a primary that
+		// this VM cannot reach.
+		b.sleepUntil(b.since + closingTime + closingMargin)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
 	err := b.Tenure.Promote(ctx, b.Service, step.Promote)
--- a/internal/broker/types.go
+++ b/internal/broker/types.go
@@ -65,6 +65,24 @@
 	Settings    []statement.Setting
 }
 
+// Writes reports whether the statement changes data.
+func (r *Request) Writes() bool {
+	switch r.Statement.Kind {
+	case statement.Write:
+		return true
+	case statement.Execute:
+		return r.Shape.Writes
+	}
+	return false
+}
+
+// Repeatable reports whether the caller loses nothing if the answer is not waited for: nothing is kept of
+// a read, nor of a transaction without its commit.
+func (r *Request) Repeatable() bool {
+	inTransaction := !r.First || r.Begin != 0
+	return r.Statement.Kind != statement.Commit && (inTransaction || !r.Writes())
+}
+
 // Result is the answer to a Request.
 type Result struct {
 	Stream uint64
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -348,7 +348,6 @@
 func lost(req broker.Request, err error) statement.Answer {
 	inTransaction := !req.First || req.Begin != 0
 	commit := req.Statement.Kind == statement.Commit
-	writes := req.Statement.Kind == statement.Write || req.Statement.Kind == statement.Execute && req.Shape.Writes
 	switch {
 	case errors.Is(err, peer.ErrNotSent) && inTransaction:
 		return statement.Err(statement.Aborted, "the owner of the service was lost")
@@ -357,7 +356,7 @@
 	case inTransaction && !commit:
 		// Without its commit a transaction is rolled back wherever it is.
 		return statement.Err(statement.Aborted, "the owner of the service was lost")
-	case commit || writes:
+	case commit || req.Writes():
 		return statement.Err(statement.Uncertain, "the owner of the service was lost")
 	}
 	return statement.Err(statement.TimedOut, "the owner of the service was lost")
--- a/internal/entryvm/news.go
+++ b/internal/entryvm/news.go
@@ -27,6 +27,9 @@
 	recheckers = 2
 	// watcherCount VMs watch the store besides the owners, so that the news arrive if all owners are cut off.
 	watcherCount = 3
+	// watchSilence is how long a VM hears no owner until it watches the store; renewals reach every VM at
+	// least once a second.
+	watchSilence = 1800 * time.Millisecond
 	// startPatience is the time from the start until a VM that hears no owner watches the store.
 	startPatience = 4 * time.Second
 	// meetTime lets VMs that start together register before each lists the others.
@@ -53,12 +56,12 @@
 		return true
 	}
 	now := d.clock()
-	return now > startPatience && now-time.Duration(d.beatAt.Load()) > ownerSilence
+	return now > startPatience && now-time.Duration(d.beatAt.Load()) > watchSilence
 }
 
 // watchers returns the VMs that watch the store even if they own no service.
 func watchers(v *directory.View) []string {
-	order := preference(v, "", func(directory.VM) bool { return true })
+	order := bySize(v)
 	return order[:min(len(order), watcherCount)]
 }
 
--- a/internal/entryvm/owners.go
+++ b/internal/entryvm/owners.go
@@ -18,9 +18,11 @@
 	// claimDelay is the time after the start in which VMs get to know each other before services are claimed.
 	claimDelay = 1200 * time.Millisecond
 	// rankDelay is how much later each further VM in the order of preference claims a service.
-	rankDelay = 250 * time.Millisecond
+	rankDelay = 60 * time.Millisecond
 	// lookInterval is the time between two looks at the owners.
 	lookInterval = 100 * time.Millisecond
+	// othersBeat is the number of rounds after which the VMs get a renewal whose promises do not count.
+	othersBeat = 4
 	// pollTimeout bounds the question whether other VMs have lost an owner, too.
 	pollTimeout = 300 * time.Millisecond
 )
@@ -35,6 +37,7 @@
 	// ending holds brokers whose tenure has ended and whose transactions still run.
 	ending   []*broker.Broker
 	claiming map[string]bool
+	beats    int // rounds of renewals
 	// vacantSince says since when this VM has seen a service without an owner.
 	vacantSince map[string]time.Duration
 	refusedBy   map[string]directory.Holder // VMs at whose address no process listens, by name
@@ -81,16 +84,7 @@
 
 // members returns the VMs whose promises count.
 func (o *owners) members() []string {
-	var names []string
-	for name, vm := range o.d.directory.View().VMs {
-		if !vm.Leaving {
-			names = append(names, name)
-		}
-	}
-	if !slices.Contains(names, o.d.self.Name) {
-		names = append(names, o.d.self.Name)
-	}
-	return names
+	return electors(o.d.directory.View())
 }
 
 // Valid reports whether this VM may act as the owner of a service.
@@ -116,9 +110,13 @@
 	}
 	o.mu.Unlock()
 	o.grant(o.d.self.Name, now, o.answerBeat(records))
-	m := peer.Message{Beat: &peer.Beat{Sent: now, Tenures: records, Changed: o.d.directory.View().Changed}}
-	for name, vm := range o.d.directory.View().VMs {
-		if name == o.d.self.Name {
+	v := o.d.directory.View()
+	m := peer.Message{Beat: &peer.Beat{Sent: now, Tenures: records, Changed: v.Changed}}
+	o.beats++
+	all := o.beats%othersBeat == 0
+	members := o.members()
+	for name, vm := range v.VMs {
+		if name == o.d.self.Name || !all && !slices.Contains(members, name) {
 			continue
 		}
 		if l := o.d.peers.Get(vm.Address); l != nil {
@@ -373,13 +371,20 @@
 			votes <- err == nil && m.Vote != nil && m.Vote.Lost
 		}()
 	}
-	yes := 1
+	yes := 0
+	if slices.Contains(members, o.d.self.Name) {
+		yes++
+	}
+	majority := len(members)/2 + 1
 	for range asked {
+		if yes >= majority {
+			break
+		}
 		if <-votes {
 			yes++
 		}
 	}
-	return yes >= len(members)/2+1
+	return yes >= majority
 }
 
 // Promote records a server as the primary of a service and makes it lead.
--- a/internal/entryvm/preference.go
+++ b/internal/entryvm/preference.go
@@ -52,3 +52,39 @@
 	}
 	return next
 }
+
+const (
+	// allElectors is the size up to which the promises of all VMs of a fleet count.
+	allElectors = 12
+	// electorCount VMs of a larger fleet promise: four may be lost, and renewals do not grow with the fleet.
+	electorCount = 9
+)
+
+// electors returns the VMs whose promises to owners count. The order does not depend on who owns what, so
+// that two VMs that know the same fleet agree.
+func electors(v *directory.View) []string {
+	names := bySize(v)
+	if len(names) <= allElectors {
+		return names
+	}
+	return names[:electorCount]
+}
+
+// bySize returns the VMs in the order of their processor time.
+func bySize(v *directory.View) []string {
+	vms := make([]directory.VM, 0, len(v.VMs))
+	for _, vm := range v.VMs {
+		if !vm.Leaving {
+			vms = append(vms, vm)
+		}
+	}
+	slices.SortFunc(vms, func(a, b directory.VM) int {
+		return cmp.Or(cmp.Compare(b.Cores, a.Cores), cmp.Compare(weight(a.Name, ""), weight(b.Name, "")),
+			cmp.Compare(a.Name, b.Name))
+	})
+	names := make([]string, len(vms))
+	for i, vm := range vms {
+		names[i] = vm.Name
+	}
+	return names
+}
--- a/internal/entryvm/router.go
+++ b/internal/entryvm/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -17,8 +18,11 @@
 	ownerPatience = 300 * time.Millisecond
 	// ownerPoll is the time between two attempts in this time.
 	ownerPoll = 15 * time.Millisecond
-	// ownerSilence is the age up to which the last renewal of an owner shows that it can be reached.
-	ownerSilence = 1200 * time.Millisecond
+	// ownerSilence is the age up to which the last renewal of an owner shows that it can be reached. It
+	// holds two of the renewals that VMs get whose promises do not count.
+	ownerSilence = 1700 * time.Millisecond
+	// electorSilence is the same for VMs that get every renewal.
+	electorSilence = 700 * time.Millisecond
 	// isolationTime is how long no owner can be reached until this VM sends its callers to others.
 	isolationTime = 1500 * time.Millisecond
 	// answerSlack is how long an owner's answer may take beyond the time limit of the statement.
@@ -78,10 +82,19 @@
 	if !ok || vm.Holder() != t.Holder {
 		return nil
 	}
-	if l := r.d.peers.Get(vm.Address); l != nil {
-		return l
+	l := r.d.peers.Get(vm.Address)
+	if l == nil || !r.d.owners.heard(t.Tenure, r.silence()) {
+		return nil
+	}
+	return l
+}
+
+// silence returns how old the last renewal of an owner may be.
+func (r *router) silence() time.Duration {
+	if slices.Contains(r.d.owners.members(), r.d.self.Name) {
+		return electorSilence
 	}
-	return nil
+	return ownerSilence
 }
 
 // reached returns how many services have an owner that this VM hears, and how many there are.
@@ -96,7 +109,7 @@
 		if !ok {
 			continue
 		}
-		if t.Holder == r.d.self.Holder() && r.d.owners.Valid(service) || r.d.owners.heard(t.Tenure, ownerSilence) {
+		if t.Holder == r.d.self.Holder() && r.d.owners.Valid(service) || r.d.owners.heard(t.Tenure, r.silence()) {
 			reached++
 		}
 	}
@@ -112,6 +125,7 @@
 // look sends the callers of a VM that reaches no owner to other VMs.
 func (r *router) look() {
 	now := r.d.clock()
+	r.giveUpReads()
 	reached, _ := r.reached()
 	if reached > 0 {
 		r.reachedAt.Store(int64(now))
@@ -123,6 +137,21 @@
 	}
 }
 
+// giveUpReads ends the wait for the answers of owners that have gone silent, for statements that the
+// caller can repeat. The answers to writes may still arrive.
+func (r *router) giveUpReads() {
+	v := r.View()
+	for _, t := range v.Tenures {
+		vm := v.VMs[t.Holder.Name]
+		if t.Holder == r.d.self.Holder() || r.d.owners.heard(t.Tenure, r.silence()) {
+			continue
+		}
+		if l := r.d.peers.Open(vm.Address); l != nil {
+			l.GiveUp()
+		}
+	}
+}
+
 // local runs statements on this VM.
 type local struct{ b *broker.Broker }
 
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -16,14 +16,14 @@
 const (
 	// BeatInterval is the time between two renewals. Lifetime holds five, so that lost messages do not
 	// end a lease.
-	BeatInterval = 300 * time.Millisecond
+	BeatInterval = 200 * time.Millisecond
 	// Lifetime is how long a promise binds, counted from the receipt of the renewal.
-	Lifetime = 1600 * time.Millisecond
+	Lifetime = time.Second
 	// Margin is taken off the owner's side of a promise. It covers clocks whose rates differ by 1% and
 	// the time between the check of the lease and the arrival of a statement at a server.
 	Margin = 50 * time.Millisecond
-	// Suspicion is the silence after which an owner counts as lost. It exceeds three renewals.
-	Suspicion = time.Second
+	// Suspicion is the silence after which an owner counts as lost. It holds three renewals.
+	Suspicion = 650 * time.Millisecond
 )
 
 // promise binds a VM to an epoch.
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -32,15 +32,22 @@
 	w       *bufio.Writer
 	enc     *gob.Encoder
 	mu      sync.Mutex
-	waiting map[uint64]chan Message
+	waiting map[uint64]call
 	remote  directory.VM
 	seq     uint64
 	down    bool
 }
 
+// call is a request that waits for its answer.
+type call struct {
+	answer chan Message
+	// repeatable is set if the request may be sent again although it may have run.
+	repeatable bool
+}
+
 func newLink(id uint64, conn net.Conn) *Link {
 	w := bufio.NewWriterSize(conn, bufferBytes)
-	return &Link{ID: id, conn: conn, w: w, enc: gob.NewEncoder(w), waiting: map[uint64]chan Message{}}
+	return &Link{ID: id, conn: conn, w: w, enc: gob.NewEncoder(w), waiting: map[uint64]call{}}
 }
 
 // Remote returns the VM at the other end as it introduced itself.
@@ -78,7 +85,7 @@
 	}
 	l.seq++
 	m.Seq = l.seq
-	l.waiting[m.Seq] = answer
+	l.waiting[m.Seq] = call{answer, m.Run != nil && m.Run.Repeatable()}
 	l.mu.Unlock()
 	defer l.forget(m.Seq)
 	if err := l.Send(m); err != nil {
@@ -139,11 +146,11 @@
 			continue
 		}
 		l.mu.Lock()
-		answer := l.waiting[m.Seq]
+		c, ok := l.waiting[m.Seq]
 		delete(l.waiting, m.Seq)
 		l.mu.Unlock()
-		if answer != nil {
-			answer <- m
+		if ok {
+			c.answer <- m
 		}
 	}
 }
@@ -154,8 +161,20 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.down = true
-	for seq, answer := range l.waiting {
-		close(answer)
+	for seq, c := range l.waiting {
+		close(c.answer)
 		delete(l.waiting, seq)
 	}
 }
+
+// GiveUp ends the wait for the answers to repeatable statements.
+func (l *Link) GiveUp() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for seq, c := range l.waiting {
+		if c.repeatable {
+			close(c.answer)
+			delete(l.waiting, seq)
+		}
+	}
+}
--- a/internal/peer/peers.go
+++ b/internal/peer/peers.go
@@ -71,6 +71,16 @@
 	return o.link
 }
 
+// Open returns the link to a VM if it is open.
+func (p *Peers) Open(address string) *Link {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if o := p.out[address]; o != nil {
+		return o.link
+	}
+	return nil
+}
+
 func (p *Peers) dial(address string, o *outgoing) {
 	conn, err := netopt.Dialer(dialTimeout).Dial("tcp", address)
 	if errors.Is(err, syscall.ECONNREFUSED) {
--- a/internal/placement/succession.go
+++ b/internal/placement/succession.go
@@ -7,9 +7,11 @@
 )
 
 const (
-	// primarySilence is how long a primary may be unreachable until it is replaced. A lost packet or a
-	// reset connection takes up to two probes to be told from a crash.
-	primarySilence = time.Second
+	// primarySilence is how long a primary may be unreachable until it is replaced. It holds two status
+	// queries, so that one lost answer or reset connection does not replace a primary.
+	primarySilence = 800 * time.Millisecond
+	// plannedSilence is the silence up to which a primary counts as able to step down in order.
+	plannedSilence = 400 * time.Millisecond
 	// settleTime is how long a group is left alone after a change, so that servers do not take turns.
 	settleTime = 2 * time.Second
 	// surveyTime is how long the servers have at the start of a tenure to report their roles.
@@ -71,7 +73,8 @@
 	if !ok {
 		return Step{}
 	}
-	step := Step{Promote: target.ID, Planned: listed && current.Reachable, Reason: "the primary does not answer"}
+	step := Step{Promote: target.ID, Planned: listed && current.Reachable && current.SilentFor < plannedSilence,
+		Reason: "the primary does not answer"}
 	if !listed || !current.Usable {
 		step.Reason = "the primary is leaving or in a withdrawn failure domain"
 	}
@@ -94,7 +97,7 @@
 	if leader.ID != "" && (g.Recorded == "" || leader.Term > byID[g.Recorded].Term && now-g.Since > surveyTime) {
 		return Step{Follow: leader.ID, Reason: "reports to lead the latest term"}
 	}
-	if now-g.Since < surveyTime+primarySilence {
+	if now-g.Since < surveyTime {
 		return Step{}
 	}
 	target, ok := successor(g)
