Keep work away from servers that do not answer

A server is left from the failure of a connection until it answers again, and unanswered statements do not count as measurements.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -77,7 +77,7 @@
 	heardAt          time.Duration
 	polledAt         time.Duration // when the query was sent that brought status
 	behindAt         time.Duration
-	failedAt         time.Duration
+	suspect          bool          // a connection has failed and nothing was heard since
 	service          time.Duration // running mean of the time from sending a statement to its answer
 	stop             chan struct{}
 }
@@ -275,7 +275,30 @@
 		return true
 	}
 	now := b.Clock()
-	return placement.Next(now, b.group(now)).Promote != ""
+	s := b.servers[b.primary]
+	return s != nil && s.suspect || placement.Next(now, b.group(now)).Promote != ""
+}
+
+// heard records that a server has answered. The mutex is held.
+func (b *Broker) heard(now time.Duration, s *server) (start []started, replies []answered) {
+	s.heardAt = now
+	if !s.suspect {
+		return nil, nil
+	}
+	s.suspect = false
+	if s.ID == b.primary && !b.changing {
+		return b.unpark(now)
+	}
+	return nil, nil
+}
+
+// distrust places the statements anew that wait for a server whose connection has failed. The mutex is
+// held.
+func (b *Broker) distrust(s *server) {
+	if !s.suspect {
+		s.suspect = true
+		b.move(s)
+	}
 }
 
 // writes reports whether only the primary can serve the stream.
@@ -297,7 +320,7 @@
 		all = append(all, placement.Server{
 			ID: s.ID, Slots: s.slots, Usable: s.usable, Primary: s.ID == b.primary && !b.changing,
 			Applied: s.status.Applied, Lag: s.status.Lag, Load: s.running + waiting, Service: s.service,
-			BehindAt: s.behindAt, FailedAt: s.failedAt,
+			BehindAt: s.behindAt, Suspect: s.suspect,
 		})
 	}
 	return all
--- a/internal/broker/run.go
+++ b/internal/broker/run.go
@@ -57,22 +57,24 @@
 	s.pool.open--
 	var refused *RefusedError
 	if !errors.As(err, &refused) {
-		s.failedAt = now
+		b.distrust(s)
 	}
-	start, replies := b.release(now, w)
+	start, replies := b.release(now, w, false)
 	more, others := b.again(now, w, "the server cannot be reached")
 	b.mu.Unlock()
 	b.after(append(start, more...), append(replies, others...))
 }
 
 // release frees the slot of a statement and starts the next one. The mutex is held.
-func (b *Broker) release(now time.Duration, w *work) ([]started, []answered) {
+func (b *Broker) release(now time.Duration, w *work, answered bool) ([]started, []answered) {
 	s := w.server
 	s.running--
-	if w.queued {
+	if w.queued && answered {
 		s.queue.Done(now, w.id)
-		w.queued = false
+	} else if w.queued {
+		s.queue.Abandon(w.id)
 	}
+	w.queued = false
 	return b.startWaiting(now, s)
 }
 
@@ -102,7 +104,7 @@
 // run runs a statement and handles its outcome.
 func (b *Broker) run(w *work, c *conn) {
 	if !b.mayRun() {
-		b.finish(w, c, outcome{err: errors.New("the lease of the service has ended")})
+		b.finish(w, c, outcome{err: errNoLease})
 		return
 	}
 	b.finish(w, c, b.exchange(w, c))
@@ -160,6 +162,9 @@
 // errStateNotReached means that a server refused to bring a connection to a session's state.
 var errStateNotReached = errors.New("the server refused to prepare the session")
 
+// errNoLease means that this VM may no longer use the service's servers.
+var errNoLease = errors.New("the lease of the service has ended")
+
 // retryable reports whether the statement may be sent again although it may have run.
 func (w *work) retryable() bool {
 	if w.tx != nil || w.req.Begin == statement.Begin {
@@ -172,17 +177,15 @@
 func (b *Broker) finish(w *work, c *conn, o outcome) {
 	now := b.Clock()
 	b.mu.Lock()
-	b.learn(now, c.server, o)
+	start, replies := b.learn(now, c.server, o)
 	if w.tx != nil {
 		w.tx.busy = false
 	}
 	keep := o.err == nil
-	var start []started
-	var replies []answered
 	switch {
 	case o.err == nil && o.answer.State == statement.InTransaction:
 		b.continueTx(w, c, o, &replies)
-		start, replies = join(start, replies)(b.release(now, w))
+		start, replies = join(start, replies)(b.release(now, w, o.err == nil))
 		b.mu.Unlock()
 		b.after(start, replies)
 		if w.tx != nil && w.tx.ended {
@@ -200,7 +203,7 @@
 	} else {
 		c.server.pool.open--
 	}
-	start, replies = join(start, replies)(b.release(now, w))
+	start, replies = join(start, replies)(b.release(now, w, o.err == nil))
 	start, replies = join(start, replies)(b.conclude(now, w, o))
 	closing := b.closed || !keep
 	b.mu.Unlock()
@@ -219,12 +222,13 @@
 }
 
 // learn takes from an answer what it says of the server. The mutex is held.
-func (b *Broker) learn(now time.Duration, s *server, o outcome) {
+func (b *Broker) learn(now time.Duration, s *server, o outcome) ([]started, []answered) {
 	if o.err != nil && !errors.Is(o.err, errStateNotReached) {
-		s.failedAt = now
-		return
+		if !errors.Is(o.err, errNoLease) {
+			b.distrust(s)
+		}
+		return nil, nil
 	}
-	s.heardAt = now
 	if o.ran {
 		s.service += (now - o.sent - s.service) >> meanShift
 	}
@@ -232,6 +236,7 @@
 		s.behindAt = now
 	}
 	b.observe(s, o.sent, o.answer.Position)
+	return b.heard(now, s)
 }
 
 // observe records a position that a server reported. The mutex is held.
--- a/internal/broker/servers.go
+++ b/internal/broker/servers.go
@@ -128,7 +128,7 @@
 func (b *Broker) probePause(s *server) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if !s.reachable || b.changing || b.primary == "" {
+	if !s.reachable || s.suspect || b.changing || b.primary == "" {
 		return urgentInterval
 	}
 	if s.ID == b.primary {
@@ -147,13 +147,14 @@
 	}
 	now := b.Clock()
 	b.mu.Lock()
-	defer b.mu.Unlock()
 	if err != nil {
+		defer b.mu.Unlock()
 		if s.reachable {
 			b.Log.Warn("server does not answer", "service", b.Service, "server", d.ID, "error", err,
 				"last_answer", now-s.heardAt)
 		}
 		s.reachable = false
+		b.distrust(s)
 		return c
 	}
 	if !s.reachable {
@@ -161,7 +162,6 @@
 			"received", st.Received, "lag", st.Lag)
 	}
 	s.reachable = true
-	s.heardAt = now
 	if a.Code == statement.OK {
 		applied := s.status.Applied
 		s.status = st
@@ -172,6 +172,9 @@
 		}
 		b.observe(s, sent, a.Position)
 	}
+	start, replies := b.heard(now, s)
+	b.mu.Unlock()
+	b.after(start, replies)
 	return c
 }
 
--- a/internal/fairqueue/fairqueue.go
+++ b/internal/fairqueue/fairqueue.go
@@ -193,6 +193,20 @@
 	return true
 }
 
+// Abandon frees the slot of a request whose target did not answer. The time that it took says nothing
+// of the service time, so the estimates and the charge stay. It reports whether the request was running.
+func (q *Queue) Abandon(id uint64) bool {
+	e := q.running[id]
+	if e == nil {
+		return false
+	}
+	delete(q.running, id)
+	e.flow.running--
+	q.stats.Finished++
+	q.release(e.flow)
+	return true
+}
+
 // Cancel removes a waiting request. It reports false if the request is not waiting; a running
 // request keeps its slot until Done.
 func (q *Queue) Cancel(id uint64) bool {
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -10,8 +10,6 @@
 const (
 	// behindPause is how long a replica that lacked a position is not asked optimistically again.
 	behindPause = 100 * time.Millisecond
-	// failurePause is how long a server whose connection broke is left, if another one can serve.
-	failurePause = 300 * time.Millisecond
 	// lagFactor and lagSlack estimate from the reported lag when a replica has surely applied a write.
 	lagFactor = 2
 	lagSlack  = 20 * time.Millisecond
@@ -28,7 +26,8 @@
 	Load     int           // statements that run or wait
 	Service  time.Duration // estimate of the time that a statement holds a slot
 	BehindAt time.Duration // when it last lacked a position
-	FailedAt time.Duration // when a connection to it last broke
+	// Suspect is set from the failure of a connection until the server answers again.
+	Suspect bool
 }
 
 // Need is what a read asks of its server.
@@ -71,16 +70,16 @@
 }
 
 // Choose returns the server that is expected to answer first. avoid names a server that has just failed
-// for this statement. ok is false if no server can serve it.
+// for this statement. ok is false if no server can serve it now.
 func Choose(now time.Duration, servers []Server, h *History, n Need, avoid string) (Choice, bool) {
 	position, at, replicas := required(now, h, n)
 	var best Choice
 	bestWait := time.Duration(-1)
 	for _, s := range servers {
-		if !s.Usable || !s.Primary && (!replicas || !hasApplied(now, s, position, at)) {
+		if !s.Usable || s.Suspect || !s.Primary && (!replicas || !hasApplied(now, s, position, at)) {
 			continue
 		}
-		wait := expectedWait(now, s)
+		wait := expectedWait(s)
 		if s.ID == avoid {
 			wait += time.Second
 		}
@@ -105,11 +104,7 @@
 }
 
 // expectedWait estimates the time until the answer of one more statement.
-func expectedWait(now time.Duration, s Server) time.Duration {
+func expectedWait(s Server) time.Duration {
 	rounds := float64(s.Load+1) / float64(max(s.Slots, 1))
-	wait := time.Duration(max(rounds, 1) * float64(s.Service))
-	if s.FailedAt > 0 && now-s.FailedAt < failurePause {
-		wait += failurePause
-	}
-	return wait
+	return time.Duration(max(rounds, 1) * float64(s.Service))
 }
--- a/internal/placement/succession.go
+++ b/internal/placement/succession.go
@@ -85,7 +85,7 @@
 func survey(now time.Duration, g Group, byID map[string]Candidate) Step {
 	if g.Recorded != "" {
 		recorded, listed := byID[g.Recorded]
-		if listed && recorded.Heard && recorded.Primary {
+		if listed && recorded.Reachable && recorded.Primary {
 			return Step{Follow: g.Recorded, Reason: "recorded primary"}
 		}
 		if listed && recorded.Heard && now-g.Since > surveyTime {
@@ -114,7 +114,7 @@
 	var latest uint64
 	for _, s := range g.Servers {
 		latest = max(latest, s.Term)
-		if s.Heard && s.Primary && s.Term > leader.Term {
+		if s.Reachable && s.Primary && s.Term > leader.Term {
 			leader = s
 		}
 	}
