--- a/internal/broker/pool.go
+++ b/internal/broker/pool.go
@@ -82,6 +82,15 @@
 	p.idle[c.workspace] = append(p.idle[c.workspace], c)
 }
 
+// idleCount returns the number of idle connections.
+func (p *pool) idleCount() int {
+	n := 0
+	for _, idle := range p.idle {
+		n += len(idle)
+	}
+	return n
+}
+
 // drain removes all idle connections.
 func (p *pool) drain() []*conn {
 	var all []*conn
--- a/internal/broker/run.go
+++ b/internal/broker/run.go
@@ -20,6 +20,9 @@
 	// has lost the answer is told from a slow one by readPatience mean service times.
 	firstTry     = 200 * time.Millisecond
 	readPatience = 6
+	// slowAfter is the time after which a statement is logged; the usual objectives are some hundred
+	// milliseconds.
+	slowAfter = 300 * time.Millisecond
 	// meanShift sets the weight of a new measurement in the mean service time to 1/8.
 	meanShift = 3
 )
@@ -259,7 +262,7 @@
 		w.tx = &tx{key: w.key, conn: c, writes: w.writes()}
 		b.txs[w.key] = w.tx
 	}
-	b.measure(w)
+	b.measure(w, o)
 	*replies = append(*replies, answered{w, Result{Stream: w.req.Stream, Answer: o.answer, Open: true}})
 }
 
@@ -277,7 +280,7 @@
 		return b.again(now, w, "the server does not answer")
 	}
 	delete(b.works, w.id)
-	b.measure(w)
+	b.measure(w, o)
 	a := o.answer
 	switch {
 	case o.err == nil && a.Code == statement.OK:
@@ -304,9 +307,18 @@
 // inTransaction reports whether the statement belongs to an explicit transaction.
 func (w *work) inTransaction() bool { return w.tx != nil || w.req.Begin != 0 }
 
-// measure records how long the statement took on this VM. The mutex is held.
-func (b *Broker) measure(w *work) {
-	b.Metrics.Latency.Update(int64((b.Clock() - w.arrived) / time.Microsecond))
+// measure records how long the statement took on this VM and says what made it slow. The mutex is held.
+func (b *Broker) measure(w *work, o outcome) {
+	now := b.Clock()
+	b.Metrics.Latency.Update(int64((now - w.arrived) / time.Microsecond))
+	if now-w.arrived < slowAfter {
+		return
+	}
+	waiting, running := w.server.queue.Len()
+	b.Log.Info("slow", "id", w.req.Statement.ID, "service", b.Service, "workspace", w.req.Workspace, "server", w.server.ID,
+		"primary", w.server.ID == b.primary, "took", now-w.arrived, "at_server", now-o.sent, "attempts", w.attempts,
+		"waiting", waiting, "running", running, "idle_connections", w.server.pool.idleCount(),
+		"connections", w.server.pool.open)
 }
 
 // rollBack ends the transaction of a connection and returns it to the pool.
--- a/internal/entryvm/preference.go
+++ b/internal/entryvm/preference.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -10,8 +11,8 @@
 )
 
 // preference returns the VMs in the order in which they should own a service: VMs that own fewer
-// services come first, then those with more processor time, then the order of a hash, which spreads
-// services that are claimed at the same time.
+// services for their processor time come first. Among equals the order is rotated by the place of the
+// service, so that services that are claimed at the same time go to different VMs.
 func preference(v *directory.View, service string, eligible func(directory.VM) bool) []string {
 	owned := map[string]float64{}
 	for _, t := range v.Tenures {
@@ -19,28 +20,20 @@
 			owned[t.Holder.Name]++
 		}
 	}
-	var vms []directory.VM
-	for _, vm := range v.VMs {
-		if !vm.Leaving && eligible(vm) {
-			vms = append(vms, vm)
-		}
-	}
-	slices.SortFunc(vms, func(a, b directory.VM) int {
-		return cmp.Or(
-			cmp.Compare((owned[a.Name]+1)/a.Cores, (owned[b.Name]+1)/b.Cores),
-			cmp.Compare(weight(a.Name, service), weight(b.Name, service)),
-			cmp.Compare(a.Name, b.Name),
-		)
-	})
-	names := make([]string, len(vms))
-	for i, vm := range vms {
-		names[i] = vm.Name
+	names := bySize(v)
+	first := 0
+	if v.Configuration != nil && len(names) > 0 {
+		first = max(slices.Index(slices.Sorted(maps.Keys(v.Configuration.Services)), service), 0) % len(names)
 	}
+	names = slices.Concat(names[first:], names[:first])
+	names = slices.DeleteFunc(names, func(name string) bool { return !eligible(v.VMs[name]) })
+	load := func(name string) float64 { return (owned[name] + 1) / v.VMs[name].Cores }
+	slices.SortStableFunc(names, func(a, b string) int { return cmp.Compare(load(a), load(b)) })
 	return names
 }
 
-// weight orders VMs differently for each service.
-func weight(vm, service string) uint64 { return xxhash.Sum64String(service + "/" + vm) }
+// weight orders VMs of the same size.
+func weight(vm string) uint64 { return xxhash.Sum64String(vm) }
 
 // successor returns the tenure that follows another one. Earlier owners that have ended are forgotten.
 func successor(t directory.Tenure, service string, holder directory.Holder, dead func(directory.Holder) bool) directory.Tenure {
@@ -79,7 +72,7 @@
 		}
 	}
 	slices.SortFunc(vms, func(a, b directory.VM) int {
-		return cmp.Or(cmp.Compare(b.Cores, a.Cores), cmp.Compare(weight(a.Name, ""), weight(b.Name, "")),
+		return cmp.Or(cmp.Compare(b.Cores, a.Cores), cmp.Compare(weight(a.Name), weight(b.Name)),
 			cmp.Compare(a.Name, b.Name))
 	})
 	names := make([]string, len(vms))
