Serve statements that can meet their objective before those that cannot

Statements that cannot start in time now wait behind all others, or are refused at once if no slot can become free.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -20,6 +20,10 @@
 	// ten milliseconds and a few slots, more cannot be served within a usual timeout.
 	maxWaiting             = 256
 	maxWaitingPerWorkspace = 128
+	// maxLate bounds the statements that wait although they miss their objective.
+	maxLate = 64
+	// serviceReserve mean service times are kept free of an objective for the run of the statement.
+	serviceReserve = 2
 	// maxAttempts bounds how often a statement that did not run is placed.
 	maxAttempts = 4
 )
@@ -77,6 +81,7 @@
 	heardAt          time.Duration
 	polledAt         time.Duration // when the query was sent that brought status
 	behindAt         time.Duration
+	late             []*work       // miss their objective and wait for a slot that nobody else needs
 	suspect          bool          // a connection has failed and nothing was heard since
 	service          time.Duration // running mean of the time from sending a statement to its answer
 	stop             chan struct{}
@@ -95,6 +100,7 @@
 	server   *server
 	choice   placement.Choice
 	queued   bool // holds a slot of the server's queue
+	isLate   bool // misses its objective
 	tx       *tx
 }
 
@@ -141,6 +147,8 @@
 	for _, s := range b.servers {
 		close(s.stop)
 		refused = append(refused, s.pool.waiting...)
+		refused = append(refused, s.late...)
+		s.late = nil
 		s.pool.waiting = nil
 		closeAll(s.pool.drain())
 	}
@@ -260,15 +268,91 @@
 	}
 	w.choice = choice
 	w.server = b.servers[choice.Server]
-	weight := b.weights[w.req.Workspace]
-	refused := w.server.queue.Enqueue(now, fairqueue.Request{
-		ID: w.id, Workspace: w.req.Workspace, Weight: weight, Deadline: w.deadline,
-	})
-	replies := b.refused(refused)
+	replies := b.enqueue(now, w, w.latestStart())
 	start, more := b.dispatch(now, w.server)
 	return start, append(replies, more...)
 }
 
+// latestStart returns until when a statement has to start to meet its objective, or, if that has passed
+// or there is none, its time limit.
+func (w *work) latestStart() time.Duration {
+	if w.req.Objective <= 0 || w.isLate {
+		return w.deadline
+	}
+	reserve := min(serviceReserve*w.server.service, w.req.Objective/2)
+	return min(w.arrived+w.req.Objective-reserve, w.deadline)
+}
+
+// enqueue puts a statement into the queue of its server. The mutex is held.
+func (b *Broker) enqueue(now time.Duration, w *work, latest time.Duration) []answered {
+	return b.refused(now, w.server.queue.Enqueue(now, fairqueue.Request{
+		ID: w.id, Workspace: w.req.Workspace, Weight: b.weights[w.req.Workspace], Deadline: latest,
+	}))
+}
+
+// refused answers the statements that a queue has refused, or keeps them for a slot that no statement
+// needs that can still meet its objective. The mutex is held.
+func (b *Broker) refused(now time.Duration, list []fairqueue.Refusal) []answered {
+	var replies []answered
+	for _, r := range list {
+		w := b.works[r.ID]
+		switch {
+		case w == nil:
+		case r.Kind == fairqueue.TooLate && !w.isLate && b.keepLate(now, w):
+		default:
+			replies = append(replies, b.refuse(w, r.Err.Reason)...)
+		}
+	}
+	return replies
+}
+
+// keepLate reports whether a statement that misses its objective can wait behind all others, and keeps it
+// if so. The mutex is held.
+func (b *Broker) keepLate(now time.Duration, w *work) bool {
+	s := w.server
+	ahead := time.Duration(len(s.late)+1) * s.service / time.Duration(max(s.slots, 1))
+	waiting, _ := s.queue.Len()
+	ahead += time.Duration(waiting) * s.service / time.Duration(max(s.slots, 1))
+	if len(s.late) >= maxLate || now+ahead > w.deadline {
+		return false
+	}
+	w.isLate = true
+	s.late = append(s.late, w)
+	return true
+}
+
+// startLate gives free slots to statements that miss their objective. The mutex is held.
+func (b *Broker) startLate(now time.Duration, s *server) []answered {
+	var replies []answered
+	for len(s.late) > 0 {
+		if waiting, running := s.queue.Len(); waiting > 0 || running >= s.slots+slotSurplus {
+			break
+		}
+		w := s.late[0]
+		s.late = s.late[1:]
+		if b.works[w.id] == w {
+			replies = append(replies, b.enqueue(now, w, w.deadline)...)
+			break
+		}
+	}
+	return replies
+}
+
+// expireLate refuses the late statements whose time has passed. The mutex is held.
+func (b *Broker) expireLate(now time.Duration, s *server) []answered {
+	var replies []answered
+	kept := s.late[:0]
+	for _, w := range s.late {
+		if now < w.deadline {
+			kept = append(kept, w)
+			continue
+		}
+		replies = append(replies, b.refuse(w, "no slot became free")...)
+	}
+	s.late = kept
+	return replies
+}
+
 // awaitsPrimary reports whether the group is about to have another primary. The mutex is held.
 func (b *Broker) awaitsPrimary() bool {
 	if b.changing || b.primary == "" {
@@ -335,24 +419,18 @@
 	return []answered{{w, refusal(w, reason)}}
 }
 
-// refused answers the statements that a queue has refused. The mutex is held.
-func (b *Broker) refused(list []fairqueue.Refusal) []answered {
-	var replies []answered
-	for _, r := range list {
-		if w := b.works[r.ID]; w != nil {
-			replies = append(replies, b.refuse(w, r.Err.Reason)...)
-		}
-	}
-	return replies
-}
-
 // dispatch starts the statements that are entitled to the free slots of a server. The mutex is held.
 func (b *Broker) dispatch(now time.Duration, s *server) (start []started, replies []answered) {
 	for {
 		id, ok, refused := s.queue.Next(now)
-		replies = append(replies, b.refused(refused)...)
+		replies = append(replies, b.refused(now, refused)...)
 		if !ok {
-			return start, replies
+			late := len(s.late)
+			replies = append(replies, b.startLate(now, s)...)
+			if len(s.late) == late {
+				return start, replies
+			}
+			continue
 		}
 		w := b.works[id]
 		if w == nil {
--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -452,6 +452,43 @@
 	is.True(otherServed*10 >= other*8)    // a small workspace inside its part is served
 }
 
+// Guards against a standing queue on a heavy day, in which every statement waits longer than its objective:
+// at twice the load that the primary can serve, most of what it serves has to be in time.
+func TestOverloadServesInTime(t *testing.T) {
+	is := is.New(t)
+	f := newFakeServers()
+	f.work = 10 * time.Millisecond
+	b, _ := newBroker(t, f, 20)
+	const objective = 100 * time.Millisecond
+	var mu sync.Mutex
+	inTime, late := 0, 0
+	var wg sync.WaitGroup
+	began := time.Now()
+	for time.Since(began) < 1500*time.Millisecond {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			req := request(statement.Write, "WRITE a 1")
+			req.Objective, req.Budget = objective, time.Second
+			sent := time.Now()
+			r := do(b, req)
+			mu.Lock()
+			defer mu.Unlock()
+			switch {
+			case r.Answer.Code != statement.OK:
+			case time.Since(sent) <= objective:
+				inTime++
+			default:
+				late++
+			}
+		}()
+		time.Sleep(1700 * time.Microsecond)
+	}
+	wg.Wait()
+	is.True(inTime >= 150)
+	is.True(inTime >= 3*late)
+}
+
 // Guards against writes that fail while the primary leaves in order.
 func TestPlannedChangeKeepsWrites(t *testing.T) {
 	is := is.New(t)
--- a/internal/broker/servers.go
+++ b/internal/broker/servers.go
@@ -100,6 +100,8 @@
 			moved = append(moved, w)
 		}
 	}
+	moved = append(moved, s.late...)
+	s.late = nil
 	now := b.Clock()
 	for _, w := range moved {
 		start, replies := b.place(now, w)
--- a/internal/broker/types.go
+++ b/internal/broker/types.go
@@ -59,6 +59,7 @@
 	MaxAge      time.Duration
 	Floor       session.Position // last acknowledged write of the session
 	Priority    int
+	Objective   time.Duration // in which the caller expects the answer; 0 means none
 	Budget      time.Duration // until the answer is of no use
 	Statement   statement.Statement
 	Shape       statement.Shape // of an execution
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -303,7 +303,7 @@
 	}
 	req := broker.Request{
 		Stream: s.tx.stream, Service: s.route.Service, Workspace: s.workspace,
-		Consistency: s.route.Consistency, MaxAge: s.route.MaxAge, Floor: s.floor, Priority: s.route.Priority,
+		Consistency: s.route.Consistency, MaxAge: s.route.MaxAge, Floor: s.floor, Priority: s.route.Priority, Objective: s.route.Objective,
 		Budget: timeout, Statement: st, Settings: s.settings,
 	}
 	switch {
