Confirm the configuration by age on every VM; reserve time for a write's answer

Renewals now carry the age of the last confirmation, and a VM that is not confirmed for three quarters of the bound lists by itself. A write was sent 32 ms before its time limit, so its outcome was unknown; statements now start only with time for their answer.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -277,10 +277,16 @@
 // or there is none, its time limit.
 func (w *work) latestStart() time.Duration {
 	if w.req.Objective <= 0 || w.isLate {
-		return w.deadline
+		return w.lastStart()
 	}
 	reserve := min(serviceReserve*w.server.service, w.req.Objective/2)
-	return min(w.arrived+w.req.Objective-reserve, w.deadline)
+	return min(w.arrived+w.req.Objective-reserve, w.lastStart())
+}
+
+// lastStart returns until when a statement has to start to be answered within its time limit. A write that
+// starts later ends with an outcome that nobody knows.
+func (w *work) lastStart() time.Duration {
+	return w.deadline - min(serviceReserve*w.server.service, w.req.Budget/4)
 }
 
 // enqueue puts a statement into the queue of its server. The mutex is held.
@@ -313,7 +319,7 @@
 	ahead := time.Duration(len(s.late)+1) * s.service / time.Duration(max(s.slots, 1))
 	waiting, _ := s.queue.Len()
 	ahead += time.Duration(waiting) * s.service / time.Duration(max(s.slots, 1))
-	if len(s.late) >= maxLate || now+ahead > w.deadline {
+	if len(s.late) >= maxLate || now+ahead > w.lastStart() {
 		return false
 	}
 	w.isLate = true
@@ -331,7 +337,7 @@
 		w := s.late[0]
 		s.late = s.late[1:]
 		if b.works[w.id] == w {
-			replies = append(replies, b.enqueue(now, w, w.deadline)...)
+			replies = append(replies, b.enqueue(now, w, w.lastStart())...)
 			break
 		}
 	}
@@ -343,7 +349,7 @@
 	var replies []answered
 	kept := s.late[:0]
 	for _, w := range s.late {
-		if now < w.deadline {
+		if now < w.lastStart() {
 			kept = append(kept, w)
 			continue
 		}
--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -511,3 +511,33 @@
 	runs := f.ran()
 	is.True(!strings.HasPrefix(runs[len(runs)-1].server, "p"))
 }
+
+// Guards against writes that are sent so late that their answer cannot come in time: on a day with a
+// standing queue their outcome would be unknown although they could have been refused.
+func TestOverloadLeavesNoWriteUncertain(t *testing.T) {
+	f := newFakeServers()
+	f.work = 30 * time.Millisecond
+	b, _ := newBroker(t, f, 20)
+	for range 20 { // lets the broker measure the service time
+		do(b, request(statement.Write, "WRITE a 1"))
+	}
+	var wg sync.WaitGroup
+	for range 120 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			req := request(statement.Write, "WRITE a 1")
+			req.Objective, req.Budget = 100*time.Millisecond, 400*time.Millisecond
+			sent := time.Now()
+			r := do(b, req)
+			if r.Answer.Code == statement.OK && time.Since(sent) > 500*time.Millisecond {
+				t.Errorf("answered after %s", time.Since(sent))
+			}
+			if r.Answer.Code == statement.Uncertain {
+				t.Error("a write was sent without time for its answer")
+			}
+		}()
+		time.Sleep(3 * time.Millisecond)
+	}
+	wg.Wait()
+}
--- a/internal/entryvm/daemon.go
+++ b/internal/entryvm/daemon.go
@@ -48,7 +48,8 @@
 	callers   *entry.Server
 	metrics   *broker.Metrics
 	leaving   atomic.Bool
-	beatAt    atomic.Int64 // when an owner was heard last, on the daemon's clock
+	beatAt    atomic.Int64                      // when an owner was heard last, on the daemon's clock
+	confirmed [directory.KindCount]atomic.Int64 // when the state of each kind was confirmed, on the daemon's clock
 	newsMu    sync.Mutex
 	news      [directory.KindCount]learned
 }
@@ -135,10 +136,8 @@
 	for k := range directory.KindCount {
 		d.addDuty(&g, duties, stop, func(ctx context.Context) error { return d.follow(ctx, k) })
 	}
-	for k, interval := range map[directory.Kind]time.Duration{
-		directory.Configurations: configurationRecheck, directory.Servers: recheck, directory.Withdrawals: recheck,
-	} {
-		d.addDuty(&g, duties, stop, func(ctx context.Context) error { return d.recheckStore(ctx, k, interval) })
+	for _, k := range []directory.Kind{directory.Configurations, directory.Servers, directory.Withdrawals} {
+		d.addDuty(&g, duties, stop, func(ctx context.Context) error { return d.recheckStore(ctx, k) })
 	}
 	for _, duty := range []func(context.Context) error{
 		d.register, d.owners.run, d.owners.confirm, d.sweep, d.joinSeeds, d.reloadSettings,
--- a/internal/entryvm/handler.go
+++ b/internal/entryvm/handler.go
@@ -27,6 +27,7 @@
 		}
 	case m.Beat != nil:
 		d.beatAt.Store(int64(d.clock()))
+		d.confirmBy(m.Beat.Changed, m.Beat.Confirmed)
 		grant := &peer.Grant{
 			Sent: m.Beat.Sent, Services: d.owners.answerBeat(m.Beat.Tenures), Changed: d.directory.View().Changed,
 			Watching: d.watches(),
--- a/internal/entryvm/news.go
+++ b/internal/entryvm/news.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"maps"
+	"math"
 	"os"
 	"os/signal"
 	"reflect"
@@ -18,11 +19,14 @@
 const (
 	// watchWait is how long a watch waits for changes. Silent connections are found by keep-alive probes.
 	watchWait = 20 * time.Second
-	// configurationRecheck and recheck are the times between two listings by which an owner finds changes
-	// that its watch has missed: a watch can fall silent without an error. Owners pass the news on, so
-	// that a configuration is in force within three seconds on all VMs.
-	configurationRecheck = 1200 * time.Millisecond
-	recheck              = 2 * time.Second
+	// recheck and recheckAlone are the ages at which the servers and withdrawals are listed again: a watch
+	// can fall silent without an error. A withdrawal has to be in force within five seconds.
+	recheck      = 2 * time.Second
+	recheckAlone = 3500 * time.Millisecond
+	recheckTick  = 200 * time.Millisecond
+	// linkTime is added to the age of a confirmation that another VM has sent.
+	linkTime = 100 * time.Millisecond
+	never    = time.Duration(math.MaxInt64)
 	// recheckers is the number of services whose owners recheck; two, so that one may be cut off.
 	recheckers = 2
 	// watcherCount VMs watch the store besides the owners, so that the news arrive if all owners are cut off.
@@ -98,12 +102,14 @@
 // followOnce lists a kind and watches it while this VM is to watch and no call fails. listed is set once
 // the kind was listed.
 func (d *Daemon) followOnce(ctx context.Context, k directory.Kind, listed *bool) error {
+	started := d.clock()
 	l, err := d.platform.Store.List(ctx, k)
 	if err != nil {
 		return err
 	}
 	d.log.Info("store listed", "kind", k, "revision", l.Revision, "objects", len(l.Entries))
 	d.directory.Replace(d.clock(), l)
+	d.confirm(k, started)
 	*listed = true
 	after := l.Revision
 	for d.watches() {
@@ -117,20 +123,25 @@
 	return nil
 }
 
-// recheckStore lists the operators' and servers' objects again while this VM owns a service.
-func (d *Daemon) recheckStore(ctx context.Context, k directory.Kind, interval time.Duration) error {
+// recheckStore lists a kind again when what this VM knows of it has not been confirmed for too long.
+func (d *Daemon) recheckStore(ctx context.Context, k directory.Kind) error {
+	pause := recheckTick
 	for ctx.Err() == nil {
-		sleep(ctx, interval)
-		if !d.rechecks() {
+		sleep(ctx, pause)
+		pause = recheckTick
+		if d.clock()-d.confirmedAt(k) < d.recheckAge(k) {
 			continue
 		}
+		started := d.clock()
 		l, err := d.platform.Store.List(ctx, k)
 		if err != nil {
 			d.log.Warn("recheck failed", "kind", k, "error", err)
+			pause = retryMost
 			continue
 		}
 		before := d.directory.View().Changed[k]
 		d.directory.Replace(d.clock(), l)
+		d.confirm(k, started)
 		if after := d.directory.View().Changed[k]; after != before {
 			d.log.Info("recheck found news", "kind", k, "revision", l.Revision)
 		}
@@ -138,6 +149,57 @@
 	return nil
 }
 
+// recheckAge returns how old the confirmation of a kind may become. The owners of the first services
+// confirm for all VMs that hear them; the others list only if they hear none of those.
+func (d *Daemon) recheckAge(k directory.Kind) time.Duration {
+	bound := d.settings.Load().ConfigApply
+	switch {
+	case k == directory.Configurations && d.rechecks():
+		return bound * 2 / 5
+	case k == directory.Configurations:
+		return bound * 3 / 4
+	case d.rechecks():
+		return recheck
+	case d.owners.any():
+		return recheckAlone
+	}
+	return never // only owners use the servers
+}
+
+// confirm records that the state of a kind that this VM knows was that of the store at a time.
+func (d *Daemon) confirm(k directory.Kind, at time.Duration) {
+	for {
+		known := d.confirmed[k].Load()
+		if int64(at) <= known || d.confirmed[k].CompareAndSwap(known, int64(at)) {
+			return
+		}
+	}
+}
+
+func (d *Daemon) confirmedAt(k directory.Kind) time.Duration {
+	return time.Duration(d.confirmed[k].Load())
+}
+
+// confirmations returns the age of each kind's confirmation, for other VMs.
+func (d *Daemon) confirmations() (ages [directory.KindCount]time.Duration) {
+	now := d.clock()
+	for k := range ages {
+		ages[k] = now - d.confirmedAt(directory.Kind(k))
+	}
+	return ages
+}
+
+// confirmBy takes the confirmations of a VM that knows the same state.
+func (d *Daemon) confirmBy(changed [directory.KindCount]uint64, ages [directory.KindCount]time.Duration) {
+	now := d.clock()
+	v := d.directory.View()
+	for k := range directory.KindCount {
+		if v.Changed[k] == changed[k] {
+			d.confirm(k, now-ages[k]-linkTime)
+		}
+	}
+}
+
 // rechecks reports whether this VM owns one of the first services, whose owners recheck for all.
 func (d *Daemon) rechecks() bool {
 	v := d.directory.View()
--- a/internal/entryvm/owners.go
+++ b/internal/entryvm/owners.go
@@ -157,7 +157,9 @@
 	o.mu.Unlock()
 	o.grant(o.d.self.Name, now, o.answerBeat(records))
 	v := o.d.directory.View()
-	m := peer.Message{Beat: &peer.Beat{Sent: now, Tenures: records, Changed: v.Changed}}
+	m := peer.Message{Beat: &peer.Beat{
+		Sent: now, Tenures: records, Changed: v.Changed, Confirmed: o.d.confirmations(),
+	}}
 	o.beats++
 	all := o.beats%othersBeat == 0
 	members := o.members()
--- a/internal/entryvm/settings.go
+++ b/internal/entryvm/settings.go
@@ -27,7 +27,7 @@
 	MaxFiles       int
 	Grace          time.Duration // from SIGTERM to SIGKILL
 	DrainTimeout   time.Duration // in which a leaving server must get no more requests
-	QuotaWindow    time.Duration
+	ConfigApply    time.Duration // in which a new configuration has to be in force
 }
 
 // Platform is what the daemon needs of its surroundings.
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -42,7 +42,9 @@
 type Beat struct {
 	Sent    time.Duration // on the sender's clock
 	Tenures []directory.Tenure
-	Changed [directory.KindCount]uint64 // last change of each kind that the sender knows
+	// Confirmed is the age of the sender's confirmation that its state is that of the store.
+	Confirmed [directory.KindCount]time.Duration
+	Changed   [directory.KindCount]uint64 // last change of each kind that the sender knows
 }
 
 // Grant answers a Beat with the services whose renewal is granted.
