--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"golang.org/x/time/rate"
 
 	"siskinrouter/internal/directory"
 	"siskinrouter/internal/fairqueue"
@@ -71,6 +72,7 @@
 type server struct {
 	directory.Server // as it was first listed; fields that change are kept below
 	usable           bool
+	warmup           *rate.Limiter // of a cold server, nil for a warm one
 	slots            int
 	queue            *fairqueue.Queue
 	pool             pool
@@ -268,11 +270,18 @@
 	}
 	w.choice = choice
 	w.server = b.servers[choice.Server]
+	if w.server.warmup != nil {
+		// Choose leaves servers without a token out.
+		_ = w.server.warmup.Allow()
+	}
 	replies := b.enqueue(now, w, w.latestStart())
 	start, more := b.dispatch(now, w.server)
 	return start, append(replies, more...)
 }
 
+// saturated reports whether a cold server has had what it may get.
+func (s *server) saturated() bool { return s.warmup != nil && s.warmup.Tokens() < 1 }
+
 // latestStart returns until when a statement has to start to meet its objective, or, if that has passed
 // or there is none, its time limit.
 func (w *work) latestStart() time.Duration {
@@ -366,7 +375,7 @@
 	}
 	now := b.Clock()
 	s := b.servers[b.primary]
-	return s != nil && s.suspect || placement.Next(now, b.group(now)).Promote != ""
+	return s != nil && (s.suspect || s.saturated()) || placement.Next(now, b.group(now)).Promote != ""
 }
 
 // heard records that a server has answered. The mutex is held.
@@ -408,7 +417,7 @@
 	for _, s := range b.servers {
 		waiting, _ := s.queue.Len()
 		all = append(all, placement.Server{
-			ID: s.ID, Slots: s.slots, Usable: s.usable, Primary: s.ID == b.primary && !b.changing,
+			ID: s.ID, Slots: s.slots, Usable: s.usable && !s.saturated(), Primary: s.ID == b.primary && !b.changing,
 			Applied: s.status.Applied, Lag: s.status.Lag, Load: s.running + waiting, Service: s.service,
 			BehindAt: s.behindAt, Suspect: s.suspect,
 		})
--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -541,3 +541,31 @@
 	}
 	wg.Wait()
 }
+
+// Guards against a cold server that gets more than its warm-up rate after a failure domain has returned.
+func TestColdServerGetsItsRate(t *testing.T) {
+	is := is.New(t)
+	f := newFakeServers()
+	b, _ := newBroker(t, f, 20)
+	const perSecond = 20
+	b.mu.Lock()
+	for _, s := range b.servers {
+		s.warm(s.ID != "p", perSecond)
+	}
+	b.mu.Unlock()
+	do(b, request(statement.Write, "WRITE a 1"))
+	time.Sleep(replicaInterval)
+	began := time.Now()
+	for time.Since(began) < time.Second {
+		req := request(statement.Read, "READ a")
+		req.Consistency, req.MaxAge = directory.Bounded, 2*time.Second
+		is.Equal(do(b, req).Answer.Code, statement.OK)
+	}
+	got := map[string]int{}
+	for _, r := range f.ran() {
+		got[r.server]++
+	}
+	limit := int(perSecond*time.Since(began).Seconds()) + 1
+	is.True(got["r1"] <= limit && got["r2"] <= limit)
+	is.True(got["p"] > limit)
+}
--- a/internal/broker/servers.go
+++ b/internal/broker/servers.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"siskinrouter/internal/directory"
 	"siskinrouter/internal/fairqueue"
 	"siskinrouter/internal/placement"
@@ -77,10 +79,27 @@
 		b.Log.Info("server usable", "service", b.Service, "server", id, "usable", usable, "draining", d.Draining,
 			"withdrawn", v.Withdrawn[d.Domain], "revision", v.Revisions[directory.Servers])
 	}
+	leaves := known.usable && !usable
 	known.usable = usable
+	known.warm(d.Cold, service.WarmupRate)
 	known.slots = d.Slots
 	known.pool.limit = max(service.MaxConnections-reservedConns, 1)
 	known.queue.SetSlots(d.Slots + slotSurplus)
+	if leaves {
+		b.move(known)
+	}
+}
+
+// warm limits the statements for a server that is slow after its start.
+func (s *server) warm(cold bool, perSecond float64) {
+	if !cold || perSecond <= 0 {
+		s.warmup = nil
+		return
+	}
+	if s.warmup == nil {
+		s.warmup = rate.NewLimiter(rate.Limit(perSecond), 1)
+	}
+	s.warmup.SetLimit(rate.Limit(perSecond))
 }
 
 // removeServer forgets a server. Statements that wait there are placed anew. The mutex is held.
--- a/internal/broker/succession.go
+++ b/internal/broker/succession.go
@@ -47,12 +47,15 @@
 		replies = append(replies, b.expireLate(now, s)...)
 	}
 	replies = append(replies, b.expireParked(now)...)
+	var start []started
+	if p := b.servers[b.primary]; len(b.parked) > 0 && !b.changing && p != nil && !p.suspect && !p.saturated() {
+		start, replies = join(start, replies)(b.unpark(now))
+	}
 	var step placement.Step
 	valid := b.Tenure.Valid(b.Service)
 	if !b.changing && valid {
 		step = placement.Next(now, b.group(now))
 	}
-	var start []started
 	if step.Follow != "" {
 		start, replies = join(start, replies)(b.follow(now, step))
 	}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -20,6 +20,7 @@
 	Missing   map[string]time.Duration
 	Withdrawn map[string]bool // failure domains
 	VMs       map[string]VM
+	Left      map[Holder]bool // runs whose records were removed
 	Tenures   map[string]TenureEntry
 	Revisions [KindCount]uint64
 	// Changed holds for each kind the revision of its last known change, by which VMs compare their news.
@@ -38,10 +39,11 @@
 	return ok && !s.Draining && !v.Withdrawn[s.Domain]
 }
 
-// Dead reports whether a run of a VM is known to have ended, because another run has replaced it.
+// Dead reports whether a run of a VM is known to have ended, because another run has replaced it or its
+// record was removed.
 func (v *View) Dead(h Holder) bool {
 	vm, ok := v.VMs[h.Name]
-	return ok && vm.Incarnation != h.Incarnation
+	return ok && vm.Incarnation != h.Incarnation || v.Left[h]
 }
 
 // Directory merges news. It is safe for concurrent use.
@@ -50,7 +52,9 @@
 	mu      sync.Mutex
 	objects [KindCount]map[string]Entry
 	// met holds the VMs that have introduced themselves, which is later news than the store's.
-	met     map[string]VM
+	met map[string]VM
+	// left holds the runs of VMs whose records were removed.
+	left    map[Holder]bool
 	missing map[string]missingServer
 	// deleted holds the latest deletions of each kind, in the order in which they were learned.
 	deleted [KindCount][]Entry
@@ -70,7 +74,7 @@
 
 // New returns an empty directory.
 func New() *Directory {
-	d := &Directory{met: map[string]VM{}, missing: map[string]missingServer{}}
+	d := &Directory{met: map[string]VM{}, left: map[Holder]bool{}, missing: map[string]missingServer{}}
 	for k := range d.objects {
 		d.objects[k] = map[string]Entry{}
 	}
@@ -96,11 +100,9 @@
 	for _, e := range l.Entries {
 		objects[e.Name] = e
 	}
-	if l.Kind == Servers {
-		for name, e := range d.objects[Servers] {
-			if _, ok := objects[name]; !ok {
-				d.lapse(now, e)
-			}
+	for name, e := range d.objects[l.Kind] {
+		if _, ok := objects[name]; !ok {
+			d.forget(now, l.Kind, e)
 		}
 	}
 	changed := d.view.Load().Changed[l.Kind]
@@ -227,7 +229,7 @@
 func (d *Directory) Meet(now time.Duration, v VM) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.met[v.Name] == v {
+	if d.met[v.Name] == v || d.left[v.Holder()] {
 		return
 	}
 	d.met[v.Name] = v
@@ -270,18 +272,26 @@
 	if e.Deleted {
 		delete(d.objects[k], e.Name)
 		d.remember(k, e)
-		if known && k == Servers {
-			d.lapse(now, old)
-		}
+		d.forget(now, k, old)
 		return
 	}
+	if e.VM != nil {
+		delete(d.left, e.VM.Holder())
+	}
 	d.objects[k][e.Name] = e
 }
 
-// lapse remembers a server whose entry is missing. The mutex is held.
-func (d *Directory) lapse(now time.Duration, e Entry) {
-	if e.Server != nil {
+// forget takes the removal of an object. A server whose entry is missing is kept for a while. The mutex is
+// held.
+func (d *Directory) forget(now time.Duration, k Kind, e Entry) {
+	switch {
+	case k == Servers && e.Server != nil:
 		d.missing[e.Server.ID] = missingServer{server: *e.Server, since: now}
+	case k == Fleet && e.VM != nil:
+		d.left[e.VM.Holder()] = true
+		if d.met[e.VM.Name].Incarnation == e.VM.Incarnation {
+			delete(d.met, e.VM.Name)
+		}
 	}
 }
 
@@ -303,6 +313,7 @@
 		}
 	case Fleet:
 		next.VMs, next.Tenures = d.fleet()
+		next.Left = maps.Clone(d.left)
 	}
 	d.view.Store(&next)
 	for _, f := range d.changed {
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -94,6 +94,14 @@
 	first := VM{Name: "vm", Incarnation: 1}
 	d.Replace(0, Listing{Kind: Fleet, Revision: 1, Entries: []Entry{{Name: "vm.vm", Revision: 1, VM: &first}}})
 	is.True(!d.View().Dead(first.Holder()))
-	d.Meet(0, VM{Name: "vm", Incarnation: 2})
+	second := VM{Name: "vm", Incarnation: 2}
+	d.Meet(0, second)
 	is.True(d.View().Dead(first.Holder()))
+	d.Update(0, Listing{Kind: Fleet, Revision: 2, Entries: []Entry{{Name: "vm.vm", Revision: 2, VM: &second}}})
+	is.True(!d.View().Dead(second.Holder()))
+	d.Update(0, Listing{Kind: Fleet, Revision: 3, Entries: []Entry{{Name: "vm.vm", Revision: 3, Deleted: true}}})
+	is.True(d.View().Dead(second.Holder()))
+	is.Equal(len(d.View().VMs), 0)
+	d.Meet(0, second) // a late introduction
+	is.Equal(len(d.View().VMs), 0)
 }
--- a/internal/entryvm/daemon.go
+++ b/internal/entryvm/daemon.go
@@ -28,6 +28,8 @@
 	sweepInterval = 250 * time.Millisecond
 	// drainShare is the part of the grace period after which open transactions are cut off, with a margin.
 	drainShare = 0.8
+	// deregisterTimeout bounds the removal of the VM's record when it leaves.
+	deregisterTimeout = 300 * time.Millisecond
 	// endingPatience bounds the wait for transactions that other VMs run here when this VM leaves.
 	endingPatience = time.Second
 )
@@ -197,10 +199,20 @@
 	for time.Now().Before(end) && d.owning() {
 		time.Sleep(lookInterval / 4)
 	}
+	d.deregister()
 	d.log.Info("drained", "cut", cut)
 	return errDrained
 }
 
+// deregister removes the record of this VM, whose promises no longer count then.
+func (d *Daemon) deregister() {
+	ctx, cancel := context.WithTimeout(context.Background(), deregisterTimeout)
+	defer cancel()
+	if err := d.platform.Store.DeleteVM(ctx, d.self.Name); err != nil {
+		d.log.Warn("VM not deregistered", "error", err)
+	}
+}
+
 // owning reports whether services of this VM still serve or have open transactions.
 func (d *Daemon) owning() bool {
 	for _, b := range d.owners.all() {
--- a/internal/entryvm/news.go
+++ b/internal/entryvm/news.go
@@ -36,6 +36,8 @@
 	watchSilence = 1800 * time.Millisecond
 	// startPatience is the time from the start until a VM that hears no owner watches the store.
 	startPatience = 4 * time.Second
+	// registerInterval is the time between two looks at whether the VM's record still stands.
+	registerInterval = time.Second
 	// meetTime lets VMs that start together register before each lists the others.
 	meetTime = 600 * time.Millisecond
 	// retryFirst and retryMost bound the pause after a call that the store has not answered well; each
@@ -215,20 +217,26 @@
 	return false
 }
 
-// register records this run of the VM in the store.
+// register records this run of the VM in the store, again if another VM took it for lost.
 func (d *Daemon) register(ctx context.Context) error {
 	pause := retryFirst
+	registered := false
 	for ctx.Err() == nil {
+		_, known := d.directory.View().VMs[d.self.Name]
+		if registered && (known || d.leaving.Load()) {
+			sleep(ctx, registerInterval)
+			continue
+		}
 		e, err := d.platform.Store.PutVM(ctx, d.self)
 		if err == nil {
 			d.directory.Put(d.clock(), directory.Fleet, e)
-			break
+			registered = true
+			continue
 		}
 		d.log.Warn("VM not registered", "error", err)
 		sleep(ctx, pause)
 		pause = min(2*pause, retryMost)
 	}
-	<-ctx.Done()
 	return nil
 }
 
--- a/internal/entryvm/owners.go
+++ b/internal/entryvm/owners.go
@@ -21,6 +21,11 @@
 	rankDelay = 60 * time.Millisecond
 	// lookInterval is the time between two looks at the owners.
 	lookInterval = 100 * time.Millisecond
+	// goneAfter is the silence after which a VM counts as gone for good; it exceeds the outages of the users'
+	// pages by far.
+	goneAfter = 45 * time.Second
+	// goneInterval is the time between two looks for such VMs.
+	goneInterval = 5 * time.Second
 	// othersBeat is the number of rounds after which the VMs get a renewal whose promises do not count.
 	othersBeat = 4
 	// confirmInterval is the time between two readings of a record while the majority of the VMs is silent,
@@ -71,6 +76,8 @@
 	defer beat.Stop()
 	look := time.NewTicker(lookInterval)
 	defer look.Stop()
+	gone := time.NewTicker(goneInterval)
+	defer gone.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -79,6 +86,8 @@
 			o.beat()
 		case <-look.C:
 			o.look(ctx)
+		case <-gone.C:
+			go o.removeLost(ctx)
 		}
 	}
 }
@@ -206,6 +215,36 @@
 	o.mu.Unlock()
 }
 
+// removeLost removes the records of VMs that have been silent for so long that they count as gone for
+// good, so that they no longer count for a majority. The VM with the duty to promote does so.
+func (o *owners) removeLost(ctx context.Context) {
+	v := o.d.directory.View()
+	duty, ok := dutyService(v)
+	if !ok || duty.Holder != o.d.self.Holder() {
+		return
+	}
+	holders := map[string]bool{o.d.self.Name: true}
+	for _, t := range v.Tenures {
+		holders[t.Holder.Name] = true
+	}
+	now := o.d.bootClock()
+	o.mu.Lock()
+	t := o.tenures[duty.Service]
+	var lost []string
+	for name := range v.VMs {
+		if t != nil && !holders[name] && t.SilentFor(now, name) > goneAfter {
+			lost = append(lost, name)
+		}
+	}
+	o.mu.Unlock()
+	for _, name := range lost {
+		o.d.log.Info("removing the record of a lost VM", "vm", name, "silent_for_more_than", goneAfter)
+		if err := o.d.platform.Store.DeleteVM(ctx, name); err != nil {
+			o.d.log.Warn("record of a lost VM not removed", "vm", name, "error", err)
+		}
+	}
+}
+
 // lost reports whether the owner of a service counts as lost.
 func (o *owners) lost(t directory.Tenure) bool {
 	o.mu.Lock()
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -124,6 +124,12 @@
 	t.grants[vm] = max(t.grants[vm], sent)
 }
 
+// SilentFor returns how long a VM has not granted a renewal, counted from the start of the tenure at the
+// earliest.
+func (t *Tenure) SilentFor(now time.Duration, vm string) time.Duration {
+	return now - max(t.Since, t.grants[vm])
+}
+
 // Confirm records that a call to the store that started at the given time showed the record unchanged.
 func (t *Tenure) Confirm(started time.Duration) { t.read = max(t.read, started) }
 
