--- a/internal/broker/succession.go
+++ b/internal/broker/succession.go
@@ -85,6 +85,9 @@
 // follow uses a server that already leads. The mutex is held.
 func (b *Broker) follow(now time.Duration, step placement.Step) ([]started, []answered) {
 	s := b.servers[step.Follow]
+	if s == nil {
+		return nil, nil // it has left meanwhile
+	}
 	b.Log.Info("primary", "service", b.Service, "server", s.ID, "term", s.status.Term, "reason", step.Reason,
 		"position", s.status.Received)
 	b.primary = s.ID
--- a/internal/entryvm/owners.go
+++ b/internal/entryvm/owners.go
@@ -551,8 +551,12 @@
 			continue
 		}
 		o.mu.Lock()
+		t, now := o.tenures[service], o.d.bootClock()
+		members := o.members()
 		order := preference(v, service, func(vm directory.VM) bool {
-			return vm.Name != o.d.self.Name && !o.dead(vm.Holder())
+			// VMs whose promises do not count hear every few renewals only.
+			heard := t == nil || !slices.Contains(members, vm.Name) || t.SilentFor(now, vm.Name) < lease.Suspicion
+			return vm.Name != o.d.self.Name && !o.dead(vm.Holder()) && heard
 		})
 		o.mu.Unlock()
 		if len(order) == 0 {
--- a/internal/entryvm/quotas.go
+++ b/internal/entryvm/quotas.go
@@ -45,6 +45,11 @@
 // Admit calls done with whether a request of a workspace is inside its rate, possibly before it returns.
 func (q *quotas) Admit(workspace string, done func(bool)) {
 	v := q.d.directory.View()
+	if v.Configuration == nil {
+		// A VM that has just started may be given a service before it knows the limits.
+		done(false)
+		return
+	}
 	w, ok := v.Configuration.Workspaces[workspace]
 	if !ok {
 		// A route that is open to all has no workspace and no rate.
