--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -38,8 +38,6 @@
 	Log     *log.Logger
 	Metrics *Metrics
 	Clock   func() time.Duration // steady, since the start of the process
-	// BootClock also counts suspended time; tenures use it.
-	BootClock func() time.Duration
 }
 
 // Broker owns the connections to the servers of one service.
@@ -108,11 +106,10 @@
 
 // tx is an open transaction.
 type tx struct {
-	key    StreamKey
-	conn   *conn
-	writes bool // not read-only
-	busy   bool
-	ended  bool // the caller left while a statement was running
+	key   StreamKey
+	conn  *conn
+	busy  bool
+	ended bool // the caller left while a statement was running
 }
 
 // New returns a broker that serves once its tenure is valid.
--- a/internal/broker/run.go
+++ b/internal/broker/run.go
@@ -259,7 +259,7 @@
 func (b *Broker) continueTx(w *work, c *conn, o outcome, replies *[]answered) {
 	delete(b.works, w.id)
 	if w.tx == nil {
-		w.tx = &tx{key: w.key, conn: c, writes: w.writes()}
+		w.tx = &tx{key: w.key, conn: c}
 		b.txs[w.key] = w.tx
 	}
 	b.measure(w, o)
--- a/internal/entryvm/daemon.go
+++ b/internal/entryvm/daemon.go
@@ -91,7 +91,7 @@
 func (d *Daemon) brokerConfig(service string) broker.Config {
 	return broker.Config{
 		Service: service, Dialer: d.platform.Dialer, Tenure: d.owners, Quota: d.quotas, Log: d.log, Metrics: d.metrics,
-		Clock: d.clock, BootClock: d.bootClock,
+		Clock: d.clock,
 	}
 }
 
--- a/internal/entryvm/settings.go
+++ b/internal/entryvm/settings.go
@@ -24,9 +24,7 @@
 	FirstStart     bool     // the whole fleet starts for the first time
 	Cores          float64
 	MemoryBytes    int64
-	MaxFiles       int
 	Grace          time.Duration // from SIGTERM to SIGKILL
-	DrainTimeout   time.Duration // in which a leaving server must get no more requests
 	ConfigApply    time.Duration // in which a new configuration has to be in force
 }
 
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -59,15 +59,6 @@
 	return taken
 }
 
-// Wait returns when the next token of a workspace arises after Take found none.
-func (b *Book) Wait(w directory.Workspace) time.Duration {
-	k := b.buckets[w.Name]
-	if k == nil || k.rate <= 0 {
-		return time.Hour
-	}
-	return time.Duration((1 - k.tokens) / k.rate * float64(time.Second))
-}
-
 // KeeperService returns the service whose owner keeps the tokens of a workspace.
 func KeeperService(workspace string, services map[string]directory.Service) string {
 	names := make([]string, 0, len(services))
