Roll back transactions that began after their caller's VM was lost

All 20 connections to one primary were taken by transactions whose VM had been killed, or had given up, while their first statement ran; nobody could end them. The test fails without the change for a lost link and for an ended stream.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -21,6 +21,8 @@
 	// ten milliseconds and a few slots, more cannot be served within a usual timeout.
 	maxWaiting             = 256
 	maxWaitingPerWorkspace = 128
+	// restMargin is added to the time that a caller may rest, which its VM enforces.
+	restMargin = time.Second
 	// maxLate bounds the statements that wait although they miss their objective.
 	maxLate = 64
 	// serviceReserve mean service times are kept free of an objective for the run of the statement.
@@ -60,6 +62,7 @@
 	// parked holds statements that need the primary while there is none.
 	parked     []*work
 	weights    map[string]int
+	txIdle     time.Duration // how long a caller may rest in a transaction; 0 means without limit
 	closed     bool
 	closedAt   time.Duration
 	done       chan struct{}
@@ -100,16 +103,18 @@
 	server   *server
 	choice   placement.Choice
 	queued   bool // holds a slot of the server's queue
+	gone     bool // nobody waits for the rest of the stream
 	isLate   bool // misses its objective
 	tx       *tx
 }
 
 // tx is an open transaction.
 type tx struct {
-	key   StreamKey
-	conn  *conn
-	busy  bool
-	ended bool // the caller left while a statement was running
+	key    StreamKey
+	conn   *conn
+	busy   bool
+	ended  bool // the caller left while a statement was running
+	usedAt time.Duration
 }
 
 // New returns a broker that serves once its tenure is valid.
@@ -465,6 +470,10 @@
 	b.mu.Lock()
 	t := b.txs[key]
 	if t == nil {
+		// The first statement may still run.
+		for _, w := range b.works {
+			w.gone = w.gone || w.key == key
+		}
 		b.mu.Unlock()
 		return
 	}
@@ -487,8 +496,27 @@
 			keys = append(keys, key)
 		}
 	}
+	for _, w := range b.works {
+		w.gone = w.gone || w.key.Link == link
+	}
+	b.mu.Unlock()
+	for _, key := range keys {
+		b.End(key)
+	}
+}
+
+// endResting rolls back the transactions that nobody has used for longer than any caller may rest.
+func (b *Broker) endResting(now time.Duration) {
+	b.mu.Lock()
+	var keys []StreamKey
+	for key, t := range b.txs {
+		if b.txIdle > 0 && !t.busy && now-t.usedAt > b.txIdle+restMargin {
+			keys = append(keys, key)
+		}
+	}
 	b.mu.Unlock()
 	for _, key := range keys {
+		b.Log.Warn("transaction ended", "service", b.Service, "reason", "nobody used it", "link", key.Link, "stream", key.Stream)
 		b.End(key)
 	}
 }
--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -569,3 +569,43 @@
 	is.True(got["r1"] <= limit && got["r2"] <= limit)
 	is.True(got["p"] > limit)
 }
+
+// Guards against transactions that nobody can end: their caller's VM was lost, or gave up, while the first
+// statement ran. Each kept a connection and a slot of the few that a server has.
+func TestTransactionOfLostVMIsRolledBack(t *testing.T) {
+	for name, end := range map[string]func(b *Broker, key StreamKey){
+		"link lost":     func(b *Broker, key StreamKey) { b.EndLink(key.Link) },
+		"stream ended":  func(b *Broker, key StreamKey) { b.End(key) },
+		"nobody speaks": func(*Broker, StreamKey) {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFakeServers()
+			f.work = 50 * time.Millisecond
+			b, _ := newBroker(t, f, 20)
+			b.mu.Lock()
+			b.txIdle = 100 * time.Millisecond
+			b.mu.Unlock()
+			req := request(statement.Write, "WRITE a 1")
+			req.Begin = statement.Begin
+			key := StreamKey{Link: 7, Stream: req.Stream}
+			answered := make(chan Result, 1)
+			b.Handle(key, req, func(r Result) { answered <- r })
+			time.Sleep(f.work / 2)
+			end(b, key)
+			<-answered
+			limit := time.Now().Add(5 * time.Second)
+			for b.Streams() > 0 {
+				if time.Now().After(limit) {
+					t.Fatal("the transaction stays open")
+				}
+				time.Sleep(time.Millisecond)
+			}
+			time.Sleep(2 * f.work)
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			p := b.servers["p"].pool
+			is.Equal(p.open, p.idleCount()) // the connection is free again
+		})
+	}
+}
--- a/internal/broker/run.go
+++ b/internal/broker/run.go
@@ -259,9 +259,12 @@
 func (b *Broker) continueTx(w *work, c *conn, o outcome, replies *[]answered) {
 	delete(b.works, w.id)
 	if w.tx == nil {
-		w.tx = &tx{key: w.key, conn: c}
-		b.txs[w.key] = w.tx
+		w.tx = &tx{key: w.key, conn: c, ended: w.gone}
+		if !w.gone {
+			b.txs[w.key] = w.tx
+		}
 	}
+	w.tx.usedAt = b.Clock()
 	b.measure(w, o)
 	*replies = append(*replies, answered{w, Result{Stream: w.req.Stream, Answer: o.answer, Open: true}})
 }
--- a/internal/broker/servers.go
+++ b/internal/broker/servers.go
@@ -48,6 +48,7 @@
 			b.removeServer(s)
 		}
 	}
+	b.txIdle = v.Configuration.TxIdle
 	for name, w := range v.Configuration.Workspaces {
 		b.weights[name] = int(w.Rate)
 	}
--- a/internal/broker/succession.go
+++ b/internal/broker/succession.go
@@ -40,6 +40,7 @@
 
 func (b *Broker) look() {
 	now := b.Clock()
+	b.endResting(now)
 	b.mu.Lock()
 	var replies []answered
 	for _, s := range b.servers {
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -327,8 +327,13 @@
 	} else {
 		var place Place
 		r, place, err = s.server.Router.Run(req)
-		if s.state == statement.InTransaction && err == nil && r.Open {
+		switch {
+		case s.state != statement.InTransaction || place == nil:
+		case err == nil && r.Open:
 			s.tx.place = place
+		case err != nil:
+			// The transaction may begin after this VM has given up.
+			place.End(s.tx.stream)
 		}
 	}
 	if err == nil {
