Send a write again whose link was closed before its first byte

A link to a silent server is interrupted while a request has just chosen it; nothing was sent, but the verdict was 'may have run'. The new test produces the same error without the change. Ruled out: an answer that was lost, since the error is that of the write.

--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -45,7 +45,8 @@
 	order      []string            // the same names, oldest first
 	keep       bool                // set only by tests
 	broken     bool
-	readOnly   bool // mode of the transactions that start on the link
+	sent       atomic.Int64 // bytes that the connection has taken
+	readOnly   bool         // mode of the transactions that start on the link
 	idleSince  time.Time
 	cancelled  atomic.Bool
 }
@@ -118,12 +119,16 @@
 	return nil
 }
 
+// Sent returns the number of bytes that were passed to the connection. It is safe for concurrent use.
+func (l *Link) Sent() int64 { return l.sent.Load() }
+
 // Queued returns the number of bytes that wait for Flush.
 func (l *Link) Queued() int { return len(l.out) }
 
 // Flush writes the queued messages. A failure breaks the link.
 func (l *Link) Flush() error {
-	_, err := l.conn.Write(l.out)
+	n, err := l.conn.Write(l.out)
+	l.sent.Add(int64(n))
 	l.out = l.out[:0]
 	if err != nil {
 		l.broken = true
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -78,6 +78,7 @@
 	failed   bool          // the target reported an error
 	ended    bool          // the batch itself has committed a transaction
 	written  chan error    // result of a write in the background
+	before   int64         // bytes that the link had sent before
 }
 
 func (x *relay) run() error {
@@ -90,6 +91,7 @@
 		x.demand = x.r.access.Group.Demand()
 	}
 	x.r.sent = int64(len(x.r.batch.buf))
+	x.before = x.lease.Sent()
 	if err := x.sendInMode(); err != nil {
 		return x.linkError(err)
 	}
@@ -121,14 +123,19 @@
 	return err
 }
 
-// linkError returns the verdict after the link failed. What was sent may have run, unless it was a read.
+// linkError returns the verdict after the link failed. What was sent may have run, unless it was a read. A
+// link to a silent server can be closed between its choice and the first byte; nothing has run then.
 func (x *relay) linkError(err error) error {
 	v := verdict.MayHaveRun
 	state := verdict.StateUnknownResolution
-	if x.r.read || x.c.srv.cfg.Without.OpenOutcome {
+	unsent := x.r.first && x.lease.Sent() == x.before
+	if unsent {
+		x.r.sent = 0
+	}
+	if x.r.read || unsent || x.c.srv.cfg.Without.OpenOutcome {
 		v = verdict.NotRun
 	}
-	if x.r.read {
+	if x.r.read || unsent {
 		state = verdict.StateConnectionFailure
 	}
 	if x.r.exclude == nil {
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -36,6 +36,7 @@
 	t       testing.TB
 	targets *devtarget.Group
 	start   time.Time
+	dial    func(ctx context.Context, network, address string) (net.Conn, error) // nil for the usual one
 }
 
 func newFixture(t testing.TB, change func(*devtarget.ServerConfig)) *fixture {
@@ -70,7 +71,7 @@
 	}
 	g := target.NewGroup(target.Config{
 		Group:          cg,
-		Credentials:    link.Credentials{User: devtarget.DefaultUser, Password: devtarget.DefaultPassword, Database: "ledger", Client: name},
+		Credentials:    link.Credentials{User: devtarget.DefaultUser, Password: devtarget.DefaultPassword, Database: "ledger", Client: name, Dial: f.dial},
 		LocalDomain:    "d2",
 		ProbeInterval:  50 * time.Millisecond,
 		AnswerTimeout:  400 * time.Millisecond,
@@ -472,3 +473,35 @@
 	is.NoErr(old.Restart())
 	is.Equal(old.Counts()["PUT"], int64(2))
 }
+
+// closingConn is closed by its owner just before a write, when it is told to.
+type closingConn struct {
+	net.Conn
+	close *atomic.Bool
+}
+
+func (c closingConn) Write(b []byte) (int, error) {
+	if strings.Contains(string(b), "PUT") && c.close.CompareAndSwap(true, false) {
+		_ = c.Conn.Close()
+	}
+	return c.Conn.Write(b)
+}
+
+// Guards against a write whose outcome counts as unknown although none of it was sent: its link was closed,
+// as links to a silent server are, between its choice and the first byte.
+func TestWriteOnClosedLinkIsSentAgain(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, nil)
+	var closeNext atomic.Bool
+	f.dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		return closingConn{c, &closeNext}, err
+	}
+	conn := f.connect(f.vm("a"), "ledger", nil)
+	_, err := conn.Exec(context.Background(), "PUT a 1")
+	is.NoErr(err)
+	closeNext.Store(true)
+	_, err = conn.Exec(context.Background(), "PUT a 2")
+	is.NoErr(err)
+	is.True(!closeNext.Load())
+}
