--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -21,5 +21,7 @@
     skip=(-skip "^($names)\$")
   fi
 fi
-# At most four packages at a time, because some of them start processes and measure time limits.
-go test -race -count=1 -p 4 -timeout 20m "${skip[@]}" ./...
+# Packages that run whole fleets, start processes and measure time limits run one after the other.
+fleets='^siskinrouter/(internal/scenario|platform|platform/soak)$'
+go list ./... | grep -vE "$fleets" | xargs go test -race -count=1 -p 4 -timeout 20m "${skip[@]}"
+go list ./... | grep -E "$fleets" | xargs go test -race -count=1 -p 1 -timeout 20m "${skip[@]}"
