--- a/internal/entryvm/router.go
+++ b/internal/entryvm/router.go
@@ -33,7 +33,7 @@
 type router struct {
 	d       *Daemon
 	streams atomic.Uint64
-	// aloneSince is when the last owner was reached, on the daemon's clock.
+	// reachedAt is when an owner was reached last, in nanoseconds on the daemon's clock.
 	reachedAt atomic.Int64
 }
 
--- a/internal/entryvm/settings.go
+++ b/internal/entryvm/settings.go
@@ -34,9 +34,9 @@
 	Dialer   broker.Dialer
 	Promoter Promoter
 	Protocol func(net.Conn) entry.Conn
-	// ReadyHandler serves the readiness probe; ready is asked for each probe.
+	// ServeReady serves the readiness probe until the listener is closed; ready is asked for each probe.
 	ServeReady func(ln net.Listener, ready func() bool) error
-	// Reload reads the settings again.
+	// Reload reads the settings file again.
 	Reload func() (Settings, error)
 }
 
