--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -21,8 +21,8 @@
 	writeTimeout = 10 * time.Second
 	// defaultTimeout of a statement applies to routes that set none.
 	defaultTimeout = 10 * time.Second
-	// answerSlack is how long an owner's answer may take beyond the time limit of the statement.
-	answerSlack = 300 * time.Millisecond
+	// AnswerSlack is how long an owner's answer may take beyond the time limit of the statement.
+	AnswerSlack = 300 * time.Millisecond
 )
 
 // session is the session of a caller.
@@ -323,7 +323,7 @@
 	var r broker.Result
 	var err error
 	if s.tx.place != nil {
-		r, err = s.tx.place.Do(req, req.Budget+answerSlack)
+		r, err = s.tx.place.Do(req, req.Budget+AnswerSlack)
 	} else {
 		var place Place
 		r, place, err = s.server.Router.Run(req)
--- a/internal/entryvm/owners.go
+++ b/internal/entryvm/owners.go
@@ -172,8 +172,13 @@
 	o.beats++
 	all := o.beats%othersBeat == 0
 	members := o.members()
+	o.send(v, m, func(name string) bool { return all || slices.Contains(members, name) })
+}
+
+// send sends a message to other VMs. A VM that cannot be reached is missed when it does not answer.
+func (o *owners) send(v *directory.View, m peer.Message, to func(name string) bool) {
 	for name, vm := range v.VMs {
-		if name == o.d.self.Name || !all && !slices.Contains(members, name) {
+		if name == o.d.self.Name || !to(name) {
 			continue
 		}
 		if l := o.d.peers.Get(vm.Address); l != nil {
@@ -335,14 +340,7 @@
 func (o *owners) announce(t directory.Tenure) {
 	r := peer.Release{Service: t.Service, Epoch: t.Epoch}
 	o.release(r)
-	for name, vm := range o.d.directory.View().VMs {
-		if name == o.d.self.Name {
-			continue
-		}
-		if l := o.d.peers.Get(vm.Address); l != nil {
-			go func() { _ = l.Send(peer.Message{Release: &r}) }()
-		}
-	}
+	o.send(o.d.directory.View(), peer.Message{Release: &r}, func(string) bool { return true })
 }
 
 // broker returns the broker of a service that this VM owns.
--- a/internal/entryvm/router.go
+++ b/internal/entryvm/router.go
@@ -25,8 +25,6 @@
 	electorSilence = 700 * time.Millisecond
 	// isolationTime is how long no owner can be reached until this VM sends its callers to others.
 	isolationTime = 1500 * time.Millisecond
-	// answerSlack is how long an owner's answer may take beyond the time limit of the statement.
-	answerSlack = 300 * time.Millisecond
 )
 
 // router finds the owner of a service for the sessions of this VM.
@@ -50,7 +48,7 @@
 	for {
 		place := r.place(req.Service)
 		if place != nil {
-			result, err := place.Do(req, req.Budget+answerSlack)
+			result, err := place.Do(req, req.Budget+entry.AnswerSlack)
 			if err != peer.ErrNotSent && !result.NotOwner {
 				return result, place, err
 			}
