Continue interrupted messages, bound the sessions of a VM, test sessions

A change of the configuration interrupts resting sessions. Messages that cannot be understood are answered before the session ends, and logged. A VM keeps a quarter of its sockets for servers and other VMs; more callers are refused at once. The sessions of callers have tests of their own: access, lost answers, floors, values, revoked keys, resting transactions, drain.

--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -3,6 +3,7 @@
 package entry
 
 import (
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -17,10 +18,17 @@
 	"siskinrouter/internal/statement"
 )
 
+// Errors of messages that cannot be understood. The session ends with them.
+var (
+	ErrMalformed = errors.New("malformed message")
+	ErrTooLarge  = errors.New("message too large")
+)
+
 // Conn is the connection of a caller.
 type Conn interface {
 	ReadStartup() (database, key string, err error)
-	// Read returns the next statement, or io.EOF at the end of the session.
+	// Read returns the next statement, or io.EOF at the end of the session. A Read that a deadline
+	// interrupts is continued by the next one.
 	Read() (statement.Statement, error)
 	// Buffered reports whether a part of a further message has arrived.
 	Buffered() bool
@@ -54,6 +62,8 @@
 	Protocol func(net.Conn) Conn
 	Log      *log.Logger
 	Registry metrics.Registry
+	// MaxSessions bounds the sessions, 0 for no bound. More callers are refused at once.
+	MaxSessions int
 }
 
 // Server accepts callers.
@@ -92,17 +102,43 @@
 }
 
 func (s *Server) serve(c Conn) {
+	defer c.Close()
 	sess := &session{server: s, conn: c, prepared: map[string]statement.Shape{}}
+	if !s.add(sess) {
+		s.counters.refused.Inc(1)
+		s.Log.Info("session refused", "code", statement.Overloaded, "reason", "too many sessions", "limit", s.MaxSessions)
+		if err := c.SetWriteDeadline(time.Now().Add(refusalTimeout)); err != nil {
+			return
+		}
+		if err := c.WriteError(statement.Err(statement.Overloaded, "this VM serves as many callers as it can")); err != nil {
+			s.Log.Debug("refusal not delivered", "error", err)
+		}
+		return
+	}
+	defer s.remove(sess)
+	sess.run()
+}
+
+// refusalTimeout bounds the time that a refused caller may leave its connection full.
+const refusalTimeout = time.Second
+
+// add reports whether there is room for a session.
+func (s *Server) add(sess *session) bool {
 	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.MaxSessions > 0 && len(s.sessions) >= s.MaxSessions {
+		return false
+	}
 	s.sessions[sess] = struct{}{}
 	s.counters.sessions.Update(int64(len(s.sessions)))
-	s.mu.Unlock()
-	sess.run()
-	_ = c.Close()
+	return true
+}
+
+func (s *Server) remove(sess *session) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	delete(s.sessions, sess)
 	s.counters.sessions.Update(int64(len(s.sessions)))
-	s.mu.Unlock()
 }
 
 // Sweep makes resting sessions look at whether they may continue.
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -59,6 +59,7 @@
 	for {
 		st, err := s.read()
 		if err != nil {
+			s.end(err)
 			return
 		}
 		s.busy.Store(true)
@@ -78,6 +79,7 @@
 	_ = s.conn.SetReadDeadline(time.Now().Add(startupTimeout))
 	var err error
 	if s.database, s.key, err = s.conn.ReadStartup(); err != nil {
+		s.end(err)
 		return false
 	}
 	_ = s.conn.SetReadDeadline(time.Time{})
@@ -89,6 +91,22 @@
 	return s.conn.WriteReady() == nil
 }
 
+// end tells the caller why its session ends, if it sent what cannot be understood.
+func (s *session) end(err error) {
+	code := statement.Malformed
+	switch {
+	case errors.Is(err, ErrTooLarge):
+		code = statement.TooLarge
+	case !errors.Is(err, ErrMalformed):
+		return
+	}
+	s.server.counters.refused.Inc(1)
+	s.server.Log.Info("session ended", "database", s.database, "workspace", s.workspace, "code", code, "error", err)
+	if err := s.conn.WriteError(statement.Err(code, err.Error())); err != nil {
+		s.server.Log.Debug("refusal not delivered", "database", s.database, "error", err)
+	}
+}
+
 // access finds the route and the workspace of the session in the configuration in force.
 func (s *session) access() *statement.Answer {
 	c := s.server.Router.View().Configuration
--- /dev/null
+++ b/internal/entry/session_test.go
@@ -0,0 +1,383 @@
+package entry
+
+import (
+	"errors"
+	"io"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
+
+	"siskinrouter/internal/broker"
+	"siskinrouter/internal/directory"
+	"siskinrouter/internal/peer"
+	position "siskinrouter/internal/session"
+	"siskinrouter/internal/statement"
+)
+
+// caller is the connection of a caller whose statements a test sends.
+type caller struct {
+	database, key string
+	statements    chan statement.Statement
+	broken        error // of the next Read, nil for none
+	answers       chan statement.Answer
+	refusals      chan statement.Answer
+
+	mu     sync.Mutex
+	wake   chan struct{} // closed when the read deadline changes
+	limit  time.Time
+	closed chan struct{}
+	once   sync.Once
+}
+
+func newCaller(database, key string) *caller {
+	return &caller{
+		database: database, key: key, statements: make(chan statement.Statement), answers: make(chan statement.Answer, 1),
+		refusals: make(chan statement.Answer, 1), wake: make(chan struct{}), closed: make(chan struct{}),
+	}
+}
+
+func (c *caller) ReadStartup() (string, string, error) { return c.database, c.key, nil }
+
+func (c *caller) Read() (statement.Statement, error) {
+	for {
+		c.mu.Lock()
+		wake, limit := c.wake, c.limit
+		c.mu.Unlock()
+		var timer <-chan time.Time
+		if !limit.IsZero() {
+			timer = time.After(time.Until(limit))
+		}
+		select {
+		case st, ok := <-c.statements:
+			if !ok && c.broken != nil {
+				return st, c.broken
+			}
+			if !ok {
+				return st, io.EOF
+			}
+			return st, nil
+		case <-timer:
+			return statement.Statement{}, os.ErrDeadlineExceeded
+		case <-wake:
+		}
+	}
+}
+
+func (c *caller) Buffered() bool    { return false }
+func (c *caller) WriteReady() error { return nil }
+
+func (c *caller) WriteAnswer(a statement.Answer) error { c.answers <- a; return nil }
+func (c *caller) WriteError(a statement.Answer) error  { c.refusals <- a; return nil }
+
+func (c *caller) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.limit = t
+	close(c.wake)
+	c.wake = make(chan struct{})
+	return nil
+}
+
+func (c *caller) SetWriteDeadline(time.Time) error { return nil }
+func (c *caller) Close() error                     { c.once.Do(func() { close(c.closed) }); return nil }
+
+// send runs a statement of the caller.
+func (c *caller) send(kind statement.Kind, text string) statement.Answer {
+	c.statements <- statement.Statement{ID: "1", Kind: kind, Text: text}
+	return <-c.answers
+}
+
+// owner is the owner of all services.
+type owner struct {
+	mu      sync.Mutex
+	view    *directory.View
+	answers map[string]broker.Result // by text
+	errs    map[string]error
+	ran     []broker.Request
+	ended   []uint64
+	streams uint64
+}
+
+func newOwner() *owner {
+	return &owner{
+		view: &directory.View{Configuration: &directory.Configuration{
+			Routes:     map[string]directory.Route{"db": {Name: "r", Database: "db", Service: "s"}, "open": {Service: "s", Open: true}},
+			Workspaces: map[string]directory.Workspace{"w": {Name: "w"}},
+			Keys:       map[string]string{"key": "w"},
+		}},
+		answers: map[string]broker.Result{}, errs: map[string]error{},
+	}
+}
+
+func (o *owner) View() *directory.View {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.view
+}
+
+func (o *owner) NextStream() uint64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.streams++
+	return o.streams
+}
+
+func (o *owner) Run(req broker.Request) (broker.Result, Place, error) {
+	r, err := o.Do(req, 0)
+	if errors.Is(err, peer.ErrNotSent) {
+		return r, nil, err
+	}
+	return r, o, err
+}
+
+func (o *owner) Do(req broker.Request, _ time.Duration) (broker.Result, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.ran = append(o.ran, req)
+	return o.answers[req.Statement.Text], o.errs[req.Statement.Text]
+}
+
+func (o *owner) End(stream uint64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.ended = append(o.ended, stream)
+}
+
+func (o *owner) configure(change func(*directory.Configuration)) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	c := *o.view.Configuration
+	change(&c)
+	o.view = &directory.View{Configuration: &c}
+}
+
+func (o *owner) last() broker.Request {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.ran[len(o.ran)-1]
+}
+
+func (o *owner) endedStreams() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.ended)
+}
+
+// open starts a session.
+func open(t *testing.T, o *owner, c *caller) *Server {
+	t.Helper()
+	s := NewServer(Config{Router: o, Log: log.New(io.Discard), Registry: metrics.NewRegistry()})
+	go s.serve(c)
+	return s
+}
+
+func ended(c *caller) bool {
+	select {
+	case <-c.closed:
+		return true
+	case <-time.After(5 * time.Second):
+		return false
+	}
+}
+
+// Guards against sessions with a key that no workspace holds or a database without a route.
+func TestAccess(t *testing.T) {
+	for _, test := range []struct {
+		database, key string
+		want          statement.Code
+	}{
+		{"db", "other", statement.AuthFailed},
+		{"db", "", statement.AuthFailed},
+		{"none", "key", statement.UnknownDatabase},
+		{"open", "", statement.OK},
+		{"db", "key", statement.OK},
+	} {
+		t.Run(test.database+"/"+test.key, func(t *testing.T) {
+			is := is.New(t)
+			c := newCaller(test.database, test.key)
+			open(t, newOwner(), c)
+			if test.want == statement.OK {
+				is.Equal(c.send(statement.Read, "READ a").Code, statement.OK)
+				close(c.statements)
+				is.True(ended(c))
+				return
+			}
+			is.Equal((<-c.refusals).Code, test.want)
+			is.True(ended(c))
+		})
+	}
+}
+
+// Guards against answers that promise "not run" for a write or a commit whose answer was lost, and against
+// transactions that stay open at an owner that the session has given up.
+func TestLostAnswers(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		begin bool
+		kind  statement.Kind
+		err   error
+		want  statement.Code
+		ends  int // streams that are rolled back
+	}{
+		{"write", false, statement.Write, peer.ErrLost, statement.Uncertain, 0},
+		{"read", false, statement.Read, peer.ErrLost, statement.TimedOut, 0},
+		{"write not sent", false, statement.Write, peer.ErrNotSent, statement.Overloaded, 0},
+		{"write in a transaction", true, statement.Write, peer.ErrLost, statement.Aborted, 1},
+		{"read in a transaction", true, statement.Read, peer.ErrLost, statement.Aborted, 1},
+		{"commit", true, statement.Commit, peer.ErrLost, statement.Uncertain, 0},
+		{"commit not sent", true, statement.Commit, peer.ErrNotSent, statement.Aborted, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			o, c := newOwner(), newCaller("db", "key")
+			open(t, o, c)
+			o.answers["WRITE first"] = broker.Result{Open: true}
+			o.errs["lost"] = test.err
+			if test.begin {
+				is.Equal(c.send(statement.Begin, "BEGIN").State, statement.InTransaction)
+				is.Equal(c.send(statement.Write, "WRITE first").Code, statement.OK)
+			}
+			a := c.send(test.kind, "lost")
+			is.Equal(a.Code, test.want)
+			is.Equal(o.endedStreams(), test.ends)
+			if test.begin && test.kind != statement.Commit {
+				is.Equal(a.State, statement.FailedTransaction)
+				is.Equal(c.send(statement.Read, "READ a").Code, statement.Malformed)
+				is.Equal(c.send(statement.Commit, "COMMIT").Code, statement.Aborted)
+			} else {
+				is.Equal(a.State, statement.Idle)
+			}
+			is.Equal(c.send(statement.Read, "READ a").Code, statement.OK) // the session goes on
+		})
+	}
+}
+
+// Guards against reads of a session that are not bound to its own last write.
+func TestFloorFollowsOwnWrites(t *testing.T) {
+	is := is.New(t)
+	o, c := newOwner(), newCaller("db", "key")
+	open(t, o, c)
+	first, second := position.Position{Term: 1, Offset: 5}, position.Position{Term: 1, Offset: 9}
+	o.answers["WRITE a"] = broker.Result{Answer: statement.Answer{Position: first}}
+	o.answers["READ a"] = broker.Result{Answer: statement.Answer{Position: position.Position{Term: 1, Offset: 7}}}
+	o.answers["WRITE b"] = broker.Result{Open: true, Answer: statement.Answer{Position: second}}
+	o.answers["COMMIT"] = broker.Result{Answer: statement.Answer{Position: second}}
+	c.send(statement.Write, "WRITE a")
+	c.send(statement.Read, "READ a")
+	is.Equal(o.last().Floor, first)
+	c.send(statement.Read, "READ a")
+	is.Equal(o.last().Floor, first) // a read does not raise it
+	c.send(statement.Begin, "BEGIN")
+	c.send(statement.Write, "WRITE b")
+	is.Equal(o.last().Begin, statement.Begin)
+	is.Equal(c.send(statement.Commit, "COMMIT").Code, statement.OK)
+	c.send(statement.Read, "READ a")
+	is.Equal(o.last().Floor, second)
+}
+
+// Guards against session values that change under a statement that has been passed on.
+func TestSettingsOfEarlierStatementsStay(t *testing.T) {
+	is := is.New(t)
+	o, c := newOwner(), newCaller("db", "key")
+	open(t, o, c)
+	set := func(value string) {
+		c.statements <- statement.Statement{Kind: statement.Set, Name: "a", Args: value}
+		<-c.answers
+	}
+	set("1")
+	c.send(statement.Read, "READ a")
+	earlier := o.last().Settings
+	set("2")
+	c.send(statement.Read, "READ a")
+	is.Equal(earlier, []statement.Setting{{Name: "a", Value: "1"}})
+	is.Equal(o.last().Settings, []statement.Setting{{Name: "a", Value: "2"}})
+}
+
+// Guards against a revoked key that is still accepted in a session that rests or goes on.
+func TestRevokedKeyEndsSession(t *testing.T) {
+	is := is.New(t)
+	o, resting, busy := newOwner(), newCaller("db", "key"), newCaller("db", "key")
+	s := open(t, o, resting)
+	go s.serve(busy)
+	is.Equal(resting.send(statement.Read, "READ a").Code, statement.OK)
+	busy.send(statement.Begin, "BEGIN")
+	o.configure(func(c *directory.Configuration) { c.Keys = map[string]string{} })
+	s.Sweep()
+	is.True(ended(resting))
+	// A transaction that has begun may end; the session may not begin another one.
+	is.Equal(busy.send(statement.Rollback, "ROLLBACK").Code, statement.OK)
+	is.True(ended(busy))
+}
+
+// Guards against callers that keep a server connection by resting inside a transaction.
+func TestRestingTransactionIsRolledBack(t *testing.T) {
+	is := is.New(t)
+	o, c := newOwner(), newCaller("db", "key")
+	o.configure(func(c *directory.Configuration) { c.TxIdle = 30 * time.Millisecond })
+	o.answers["WRITE a"] = broker.Result{Open: true}
+	open(t, o, c)
+	c.send(statement.Begin, "BEGIN")
+	c.send(statement.Write, "WRITE a")
+	for end := time.Now().Add(5 * time.Second); o.endedStreams() == 0 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	is.Equal(o.endedStreams(), 1)
+	a := c.send(statement.Commit, "COMMIT")
+	is.Equal(a.Code, statement.Aborted)
+	is.Equal(len(o.ran), 1) // the commit did not reach the owner
+}
+
+// Guards against messages that end a session without a word.
+func TestBrokenMessagesAreRefused(t *testing.T) {
+	for err, want := range map[error]statement.Code{ErrMalformed: statement.Malformed, ErrTooLarge: statement.TooLarge} {
+		is := is.New(t)
+		c := newCaller("db", "key")
+		open(t, newOwner(), c)
+		c.broken = err
+		close(c.statements)
+		is.Equal((<-c.refusals).Code, want)
+		is.True(ended(c))
+	}
+}
+
+// Guards against a flood of callers that leaves no descriptors for servers and other VMs.
+func TestSessionsAreBounded(t *testing.T) {
+	is := is.New(t)
+	o, first, second, third := newOwner(), newCaller("db", "key"), newCaller("db", "key"), newCaller("db", "key")
+	s := NewServer(Config{Router: o, Log: log.New(io.Discard), Registry: metrics.NewRegistry(), MaxSessions: 1})
+	go s.serve(first)
+	is.Equal(first.send(statement.Read, "READ a").Code, statement.OK)
+	go s.serve(second)
+	is.Equal((<-second.refusals).Code, statement.Overloaded)
+	is.True(ended(second))
+	close(first.statements)
+	is.True(ended(first))
+	for s.Sessions() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	go s.serve(third)
+	is.Equal(third.send(statement.Read, "READ a").Code, statement.OK)
+}
+
+// Guards against a drain that ends a transaction which still had time, or waits for sessions that rest.
+func TestDrainWaitsForTransactions(t *testing.T) {
+	is := is.New(t)
+	o, resting, busy := newOwner(), newCaller("db", "key"), newCaller("db", "key")
+	o.answers["WRITE a"] = broker.Result{Open: true}
+	s := open(t, o, resting)
+	go s.serve(busy)
+	is.Equal(resting.send(statement.Read, "READ a").Code, statement.OK)
+	busy.send(statement.Begin, "BEGIN")
+	busy.send(statement.Write, "WRITE a")
+	cut := make(chan int)
+	go func() { cut <- s.Drain(5 * time.Second) }()
+	is.True(ended(resting))
+	is.Equal(busy.send(statement.Commit, "COMMIT").Code, statement.OK)
+	is.Equal(<-cut, 0)
+	is.True(ended(busy))
+}
--- a/internal/entryvm/daemon.go
+++ b/internal/entryvm/daemon.go
@@ -70,7 +70,9 @@
 	d.quotas = newQuotas(d)
 	d.peers = peer.New(&handler{d}, logger)
 	d.router = &router{d: d}
-	d.callers = entry.NewServer(entry.Config{Router: d.router, Protocol: p.Protocol, Log: logger, Registry: registry})
+	d.callers = entry.NewServer(entry.Config{
+		Router: d.router, Protocol: p.Protocol, Log: logger, Registry: registry, MaxSessions: s.maxSessions(),
+	})
 	d.directory.OnChange(d.changed)
 	return d
 }
--- a/internal/entryvm/settings.go
+++ b/internal/entryvm/settings.go
@@ -24,10 +24,18 @@
 	FirstStart     bool     // the whole fleet starts for the first time
 	Cores          float64
 	MemoryBytes    int64
+	Sockets        int           // that the process may have open; 0 if not limited
 	Grace          time.Duration // from SIGTERM to SIGKILL
 	ConfigApply    time.Duration // in which a new configuration has to be in force
 }
 
+// callerShare is the part of the sockets that callers may take. The others are for the connections to
+// servers, of which a service takes some hundreds at most, and for the links between VMs.
+const callerShare = 0.75
+
+// maxSessions returns how many callers a VM serves at once, 0 for no limit.
+func (s Settings) maxSessions() int { return int(callerShare * float64(s.Sockets)) }
+
 // Platform is what the daemon needs of its surroundings.
 type Platform struct {
 	Store    directory.Store
