--- a/internal/devfleet/ready.go
+++ b/internal/devfleet/ready.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/jackc/pgx/v5"
@@ -28,12 +29,23 @@
 		}
 		select {
 		case <-ctx.Done():
-			return fmt.Errorf("%w: VM %s: %w", errNotReady, vm.Name, err)
+			return fmt.Errorf("%w: VM %s: %w; servers: %s", errNotReady, vm.Name, err, f.serverStates())
 		case <-time.After(readyPause):
 		}
 	}
 }
 
+// serverStates describes all servers.
+func (f *Fleet) serverStates() string {
+	var b strings.Builder
+	for _, g := range f.Groups {
+		for _, s := range g.Servers() {
+			fmt.Fprintf(&b, "%s: %+v, %d connections; ", s.Name(), s.Status(), s.Connections())
+		}
+	}
+	return b.String()
+}
+
 // probe writes and reads once for each workspace through one VM.
 func (f *Fleet) probe(ctx context.Context, vm *VM) error {
 	for _, w := range f.Deployment.Workspaces {
@@ -49,19 +61,21 @@
 	defer cancel()
 	conn, err := pgx.Connect(ctx, f.URL(vm, workspace, ""))
 	if err != nil {
-		return err
+		return fmt.Errorf("connect: %w", err)
 	}
 	defer conn.Close(context.Background())
 	if _, err := conn.Exec(ctx, "PUT ready 1"); err != nil {
-		return err
+		return fmt.Errorf("write: %w", err)
 	}
 	reader, err := pgx.Connect(ctx, f.URL(vm, workspace, RouteLookup))
 	if err != nil {
-		return err
+		return fmt.Errorf("connect for reads: %w", err)
 	}
 	defer reader.Close(context.Background())
-	_, err = reader.Exec(ctx, "GET ready")
-	return err
+	if _, err = reader.Exec(ctx, "GET ready"); err != nil {
+		return fmt.Errorf("read: %w", err)
+	}
+	return nil
 }
 
 // ReadyVM waits until one VM serves a read and a write of every workspace.
