Call suspected VMs again, so that mutual suspicion ends within seconds

One Sync in four goes to the VM that has been suspected for the longest time, all of them if no VM is live. A refused Sync is an answer.

--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -115,7 +115,13 @@
 	var again *machine.Hello
 	for range maxSyncRounds {
 		more, next, err := m.syncOnce(ctx, peer, again)
-		if err != nil {
+		switch {
+		case errors.Is(err, machine.ErrGone), errors.Is(err, machine.ErrOldIncarnation):
+			// The peer lives; it waits until the platform lists this VM again.
+			m.d.log.Debug("sync refused", "peer", peer.Name, "err", err)
+			return
+		case err != nil:
+			m.d.log.Debug("sync failed", "peer", peer.Name, "err", err)
 			m.with(func(s *machine.Members) { s.Unanswered(m.d.now(), peer) })
 			return
 		}
--- a/internal/machine/machine_test.go
+++ b/internal/machine/machine_test.go
@@ -437,3 +437,38 @@
 	is.Equal(m.Wanted(1, v, []Version{{"contract", 6}}), []string{"contract"})
 	is.Equal(m.Wanted(1+wantTimeout, v, announced), []string{"contract"})
 }
+
+// Guards against VMs that suspect each other after a pause and stay apart for half a minute: a VM without
+// other live VMs has nobody to borrow from and refuses callers inside their rate.
+func TestMutualSuspicionEnds(t *testing.T) {
+	is := is.New(t)
+	all := fleetOf(3, 3)
+	vms := map[string]*Members{}
+	for _, vm := range all {
+		m := newMembers(vm)
+		m.Observe(0, 0, all)
+		vms[vm.Name] = m
+	}
+	for _, a := range all {
+		for _, b := range all {
+			vms[a.Name].Unanswered(0, b)
+			vms[a.Name].Unanswered(0, b)
+		}
+	}
+	joined := time.Duration(-1)
+	for now := time.Duration(0); now < 30*time.Second && joined < 0; now += 100 * time.Millisecond {
+		for _, vm := range all {
+			m := vms[vm.Name]
+			for _, s := range pick[SyncWith](m.Tick(now)) {
+				request := hello(vm, uint64(now/time.Millisecond)+1)
+				is.NoErr(vms[s.Peer.Name].Heartbeat(now, request))
+				is.NoErr(m.Heartbeat(now, hello(s.Peer, uint64(now/time.Millisecond)+1)))
+			}
+		}
+		if len(vms[all[0].Name].Live()) == 3 && len(vms[all[1].Name].Live()) == 3 && len(vms[all[2].Name].Live()) == 3 {
+			joined = now
+		}
+	}
+	t.Logf("all live after %v", joined)
+	is.True(joined >= 0 && joined <= 5*time.Second) // "within a few seconds"
+}
--- a/internal/machine/tick.go
+++ b/internal/machine/tick.go
@@ -26,6 +26,8 @@
 	wantTimeout = time.Second
 	// maxWanted bounds the objects that are being waited for.
 	maxWanted = 1024
+	// retrySuspects is the number of Syncs of which one goes to a suspected VM, if there is one.
+	retrySuspects = 4
 	// confirmInterval is the time between two checks of a watch holder that the platform answers.
 	confirmInterval = 2 * time.Second
 	// After staleAfter without confirmation of the configuration a VM makes every fourth Sync with a
@@ -172,6 +174,9 @@
 // so that a cut-off failure domain stays consistent within itself. A VM whose configuration is
 // becoming stale prefers the watch holders.
 func (m *Members) syncPeer(now time.Duration) (VM, bool) {
+	if suspect, ok := m.longestSuspected(); ok && (m.turn%retrySuspects == 0 || !m.hasLivePeer()) {
+		return suspect, true
+	}
 	age, ok := m.FreshAge(now)
 	stale := ok && age > staleAfter && age < staleUntil
 	if stale && m.prefersHolder(age) {
@@ -197,6 +202,31 @@
 	return VM{}, false
 }
 
+// longestSuspected returns the suspected VM that was called the longest time ago. Two VMs that were cut off
+// from each other, or of which one was paused, suspect each other and end that only by a call.
+func (m *Members) longestSuspected() (VM, bool) {
+	var longest *member
+	for _, name := range m.order {
+		e := m.members[name]
+		if e.view().State == Suspected && (longest == nil || e.failed < longest.failed) {
+			longest = e
+		}
+	}
+	if longest == nil {
+		return VM{}, false
+	}
+	return longest.view(), true
+}
+
+func (m *Members) hasLivePeer() bool {
+	for _, name := range m.order {
+		if name != m.self.Name && m.members[name].view().State == Live {
+			return true
+		}
+	}
+	return false
+}
+
 func (m *Members) prefersHolder(age time.Duration) bool {
 	if age > veryStaleAfter {
 		return m.rng.IntN(2) == 0
