--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -7,26 +7,15 @@
 	"github.com/charmbracelet/log"
 	"golang.org/x/time/rate"
 
+	"siskinrouter/internal/admission"
 	"siskinrouter/internal/directory"
-	"siskinrouter/internal/fairqueue"
 	"siskinrouter/internal/placement"
 	"siskinrouter/internal/statement"
 )
 
 const (
-	// slotSurplus statements are sent to a server beyond its slots, so that a slot is not idle while an
-	// answer and the next statement are on their way.
-	slotSurplus = 1
-	// maxWaiting and maxWaitingPerWorkspace bound the queue of one server. With a service time of some
-	// ten milliseconds and a few slots, more cannot be served within a usual timeout.
-	maxWaiting             = 256
-	maxWaitingPerWorkspace = 128
 	// restMargin is added to the time that a caller may rest, which its VM enforces.
 	restMargin = time.Second
-	// maxLate bounds the statements that wait although they miss their objective.
-	maxLate = 64
-	// serviceReserve mean service times are kept free of an objective for the run of the statement.
-	serviceReserve = 2
 	// maxAttempts bounds how often a statement that did not run is placed.
 	maxAttempts = 4
 )
@@ -75,7 +64,7 @@
 	usable           bool
 	warmup           *rate.Limiter // of a cold server, nil for a warm one
 	slots            int
-	queue            *fairqueue.Queue
+	queue            *admission.Queue
 	pool             pool
 	running          int // statements that bypass the queue included
 	status           Status
@@ -84,9 +73,7 @@
 	heardAt          time.Duration
 	polledAt         time.Duration // when the query was sent that brought status
 	behindAt         time.Duration
-	late             []*work       // miss their objective and wait for a slot that nobody else needs
-	suspect          bool          // a connection has failed and nothing was heard since
-	service          time.Duration // running mean of the time from sending a statement to its answer
+	suspect          bool // a connection has failed and nothing was heard since
 	stop             chan struct{}
 }
 
@@ -104,7 +91,6 @@
 	choice   placement.Choice
 	queued   bool // holds a slot of the server's queue
 	gone     bool // nobody waits for the rest of the stream
-	isLate   bool // misses its objective
 	tx       *tx
 }
 
@@ -151,8 +137,6 @@
 	for _, s := range b.servers {
 		close(s.stop)
 		refused = append(refused, s.pool.waiting...)
-		refused = append(refused, s.late...)
-		s.late = nil
 		s.pool.waiting = nil
 		closeAll(s.pool.drain())
 	}
@@ -276,7 +260,10 @@
 		// Choose leaves servers without a token out.
 		_ = w.server.warmup.Allow()
 	}
-	replies := b.enqueue(now, w, w.latestStart())
+	replies := b.refuseAll(w.server.queue.Enqueue(now, admission.Statement{
+		ID: w.id, Workspace: w.req.Workspace, Weight: b.weights[w.req.Workspace],
+		Arrived: w.arrived, Objective: w.req.Objective, Limit: w.req.Budget,
+	}))
 	start, more := b.dispatch(now, w.server)
 	return start, append(replies, more...)
 }
@@ -284,89 +271,14 @@
 // saturated reports whether a cold server has had what it may get.
 func (s *server) saturated() bool { return s.warmup != nil && s.warmup.Tokens() < 1 }
 
-// latestStart returns until when a statement has to start to meet its objective, or, if that has passed
-// or there is none, its time limit.
-func (w *work) latestStart() time.Duration {
-	if w.req.Objective <= 0 || w.isLate {
-		return w.lastStart()
-	}
-	reserve := min(serviceReserve*w.server.service, w.req.Objective/2)
-	return min(w.arrived+w.req.Objective-reserve, w.lastStart())
-}
-
-// lastStart returns until when a statement has to start to be answered within its time limit. A write that
-// starts later ends with an outcome that nobody knows.
-func (w *work) lastStart() time.Duration {
-	return w.deadline - min(serviceReserve*w.server.service, w.req.Budget/4)
-}
-
-// enqueue puts a statement into the queue of its server. The mutex is held.
-func (b *Broker) enqueue(now time.Duration, w *work, latest time.Duration) []answered {
-	return b.refused(now, w.server.queue.Enqueue(now, fairqueue.Request{
-		ID: w.id, Workspace: w.req.Workspace, Weight: b.weights[w.req.Workspace], Deadline: latest,
-	}))
-}
-
-// refused answers the statements that a queue has refused, or keeps them for a slot that no statement
-// needs that can still meet its objective. The mutex is held.
-func (b *Broker) refused(now time.Duration, list []fairqueue.Refusal) []answered {
+// refuseAll answers the statements that a queue has refused. The mutex is held.
+func (b *Broker) refuseAll(list []admission.Refusal) []answered {
 	var replies []answered
 	for _, r := range list {
-		w := b.works[r.ID]
-		switch {
-		case w == nil:
-		case r.Kind == fairqueue.TooLate && !w.isLate && b.keepLate(now, w):
-		default:
-			replies = append(replies, b.refuse(w, r.Err.Reason)...)
-		}
-	}
-	return replies
-}
-
-// keepLate reports whether a statement that misses its objective can wait behind all others, and keeps it
-// if so. The mutex is held.
-func (b *Broker) keepLate(now time.Duration, w *work) bool {
-	s := w.server
-	ahead := time.Duration(len(s.late)+1) * s.service / time.Duration(max(s.slots, 1))
-	waiting, _ := s.queue.Len()
-	ahead += time.Duration(waiting) * s.service / time.Duration(max(s.slots, 1))
-	if len(s.late) >= maxLate || now+ahead > w.lastStart() {
-		return false
-	}
-	w.isLate = true
-	s.late = append(s.late, w)
-	return true
-}
-
-// startLate gives free slots to statements that miss their objective. The mutex is held.
-func (b *Broker) startLate(now time.Duration, s *server) []answered {
-	var replies []answered
-	for len(s.late) > 0 {
-		if waiting, running := s.queue.Len(); waiting > 0 || running >= s.slots+slotSurplus {
-			break
-		}
-		w := s.late[0]
-		s.late = s.late[1:]
-		if b.works[w.id] == w {
-			replies = append(replies, b.enqueue(now, w, w.lastStart())...)
-			break
-		}
-	}
-	return replies
-}
-
-// expireLate refuses the late statements whose time has passed. The mutex is held.
-func (b *Broker) expireLate(now time.Duration, s *server) []answered {
-	var replies []answered
-	kept := s.late[:0]
-	for _, w := range s.late {
-		if now < w.lastStart() {
-			kept = append(kept, w)
-			continue
+		if w := b.works[r.ID]; w != nil {
+			replies = append(replies, b.refuse(w, r.Reason)...)
 		}
-		replies = append(replies, b.refuse(w, "no slot became free")...)
 	}
-	s.late = kept
 	return replies
 }
 
@@ -420,7 +332,7 @@
 		waiting, _ := s.queue.Len()
 		all = append(all, placement.Server{
 			ID: s.ID, Slots: s.slots, Usable: s.usable && !s.saturated(), Primary: s.ID == b.primary && !b.changing,
-			Applied: s.status.Applied, Lag: s.status.Lag, Load: s.running + waiting, Service: s.service,
+			Applied: s.status.Applied, Lag: s.status.Lag, Load: s.running + waiting, Service: s.queue.Service(),
 			BehindAt: s.behindAt, Suspect: s.suspect,
 		})
 	}
@@ -440,14 +352,9 @@
 func (b *Broker) dispatch(now time.Duration, s *server) (start []started, replies []answered) {
 	for {
 		id, ok, refused := s.queue.Next(now)
-		replies = append(replies, b.refused(now, refused)...)
+		replies = append(replies, b.refuseAll(refused)...)
 		if !ok {
-			late := len(s.late)
-			replies = append(replies, b.startLate(now, s)...)
-			if len(s.late) == late {
-				return start, replies
-			}
-			continue
+			return start, replies
 		}
 		w := b.works[id]
 		if w == nil {
--- a/internal/broker/run.go
+++ b/internal/broker/run.go
@@ -23,8 +23,6 @@
 	// slowAfter is the time after which a statement is logged; the usual objectives are some hundred
 	// milliseconds.
 	slowAfter = 300 * time.Millisecond
-	// meanShift sets the weight of a new measurement in the mean service time to 1/8.
-	meanShift = 3
 )
 
 // runOn runs a statement on an idle connection, or on a new one.
@@ -130,7 +128,7 @@
 	deadline := time.Now().Add(w.deadline - sent)
 	if w.retryable() {
 		b.mu.Lock()
-		patience := max(firstTry, readPatience*c.server.service)
+		patience := max(firstTry, readPatience*c.server.queue.Service())
 		b.mu.Unlock()
 		deadline = time.Now().Add(min(patience, w.deadline-sent))
 	}
@@ -233,7 +231,7 @@
 		return nil, nil
 	}
 	if o.ran {
-		s.service += (now - o.sent - s.service) >> meanShift
+		s.queue.Measure(now - o.sent)
 	}
 	if o.answer.Code == statement.Behind {
 		s.behindAt = now
--- a/internal/broker/servers.go
+++ b/internal/broker/servers.go
@@ -6,8 +6,8 @@
 
 	"golang.org/x/time/rate"
 
+	"siskinrouter/internal/admission"
 	"siskinrouter/internal/directory"
-	"siskinrouter/internal/fairqueue"
 	"siskinrouter/internal/placement"
 	"siskinrouter/internal/statement"
 )
@@ -23,8 +23,6 @@
 	probeTimeout = 500 * time.Millisecond
 	// probeName is the name under which status queries connect.
 	probeName = "siskinrouter"
-	// firstService is the estimate of a service time before any was measured.
-	firstService = 20 * time.Millisecond
 	// watchInterval is the time between two looks at the group.
 	watchInterval = 50 * time.Millisecond
 )
@@ -64,11 +62,7 @@
 	}
 	if known == nil {
 		known = &server{
-			Server: d, service: firstService, stop: make(chan struct{}),
-			queue: fairqueue.New(fairqueue.Limits{
-				Slots: d.Slots + slotSurplus, Waiting: maxWaiting, PerWorkspace: maxWaitingPerWorkspace,
-			}),
-			pool: pool{idle: map[string][]*conn{}},
+			Server: d, stop: make(chan struct{}), queue: admission.New(d.Slots), pool: pool{idle: map[string][]*conn{}},
 		}
 		known.heardAt = b.Clock()
 		b.servers[id] = known
@@ -85,7 +79,7 @@
 	known.warm(d.Cold, service.WarmupRate)
 	known.slots = d.Slots
 	known.pool.limit = max(service.MaxConnections-reservedConns, 1)
-	known.queue.SetSlots(d.Slots + slotSurplus)
+	known.queue.SetSlots(d.Slots)
 	if leaves {
 		b.move(known)
 	}
@@ -120,8 +114,6 @@
 			moved = append(moved, w)
 		}
 	}
-	moved = append(moved, s.late...)
-	s.late = nil
 	now := b.Clock()
 	for _, w := range moved {
 		start, replies := b.place(now, w)
--- a/internal/broker/succession.go
+++ b/internal/broker/succession.go
@@ -44,8 +44,7 @@
 	b.mu.Lock()
 	var replies []answered
 	for _, s := range b.servers {
-		replies = append(replies, b.refused(now, s.queue.Expire(now))...)
-		replies = append(replies, b.expireLate(now, s)...)
+		replies = append(replies, b.refuseAll(s.queue.Expire(now))...)
 	}
 	replies = append(replies, b.expireParked(now)...)
 	var start []started
--- a/internal/devfleet/deployment.go
+++ b/internal/devfleet/deployment.go
@@ -26,6 +26,7 @@
 	ServiceTime      time.Duration     // time that a statement occupies a slot
 	Lag              time.Duration     // of what reads on replicas see
 	StatementTimeout time.Duration     // of every route; 0 for 10 s
+	Suspicion        time.Duration     // after which a silent primary is suspected; 0 for the default
 	Experiment       daemon.Experiment // policies of all VMs that differ from the design
 }
 
--- a/internal/devfleet/fleet.go
+++ b/internal/devfleet/fleet.go
@@ -223,6 +223,9 @@
 user = %q
 password = %q
 `, name, domain, callers, fleet, fleet, fleetKey, f.platformURL, devtarget.DefaultUser, devtarget.DefaultPassword)
+	if f.Deployment.Suspicion > 0 {
+		text += fmt.Sprintf("[timings]\nsuspicion = %q\n", f.Deployment.Suspicion)
+	}
 	s, faults := settings.Parse([]byte(text))
 	if len(faults) > 0 {
 		return nil, fmt.Errorf("settings of VM %s: line %d: %s", name, faults[0].Line, faults[0].Problem)
--- /dev/null
+++ b/internal/entryvm/claim.go
@@ -0,0 +1,166 @@
+package entryvm
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"siskinrouter/internal/directory"
+	"siskinrouter/internal/lease"
+	"siskinrouter/internal/peer"
+)
+
+const (
+	// claimDelay is the time after the start in which VMs get to know each other before services are claimed.
+	claimDelay = 1200 * time.Millisecond
+	// rankDelay is how much later each further VM in the order of preference claims a service.
+	rankDelay = 60 * time.Millisecond
+	// claimPause is the time after a claim that the store did not take.
+	claimPause = 400 * time.Millisecond
+	// pollTimeout bounds the question whether other VMs have lost an owner, too.
+	pollTimeout = 300 * time.Millisecond
+)
+
+// look claims services whose owner is lost.
+func (o *owners) look(ctx context.Context) {
+	v := o.d.directory.View()
+	if v.Configuration == nil || o.d.leaving.Load() {
+		return
+	}
+	now := o.d.clock()
+	for service := range v.Configuration.Services {
+		record, claimed := v.Tenures[service]
+		// A VM that has started again resumes its services at once; the others wait for it.
+		resumed := record.Holder.Name == o.d.self.Name
+		if now < claimDelay && !resumed {
+			continue
+		}
+		vacant := !claimed || o.lost(record.Tenure)
+		o.mu.Lock()
+		if !vacant || record.Holder == o.d.self.Holder() {
+			delete(o.vacantSince, service)
+			o.mu.Unlock()
+			continue
+		}
+		since, known := o.vacantSince[service]
+		if !known {
+			since = now
+			o.vacantSince[service] = now
+		}
+		due := resumed || now-since >= time.Duration(o.rank(v, service))*rankDelay
+		due = due && !o.claiming[service]
+		if due {
+			o.claiming[service] = true
+		}
+		o.mu.Unlock()
+		if due {
+			go o.claim(ctx, service, record)
+		}
+	}
+}
+
+// rank returns this VM's place in the order in which VMs claim a service. The mutex is held.
+func (o *owners) rank(v *directory.View, service string) int {
+	order := preference(v, service, func(vm directory.VM) bool {
+		return vm.Name == o.d.self.Name || !o.dead(vm.Holder())
+	})
+	return max(slices.Index(order, o.d.self.Name), 0)
+}
+
+// claim makes this VM the owner of a service if a majority of the VMs has lost the owner, too.
+func (o *owners) claim(ctx context.Context, service string, record directory.TenureEntry) {
+	defer func() {
+		o.mu.Lock()
+		delete(o.claiming, service)
+		o.mu.Unlock()
+	}()
+	if record.Epoch > 0 && record.Holder.Name != o.d.self.Name && !o.majorityLost(record.Tenure) {
+		return
+	}
+	o.mu.Lock()
+	next := successor(record.Tenure, service, o.d.self.Holder(), o.dead)
+	o.mu.Unlock()
+	o.d.log.Info("claiming service", "service", service, "epoch", next.Epoch, "prior", record.Holder.Name)
+	if err := o.write(ctx, next, record.Revision); err != nil {
+		sleep(ctx, claimPause)
+	}
+}
+
+// write changes the record of a tenure and takes the outcome into the directory.
+func (o *owners) write(ctx context.Context, t directory.Tenure, revision uint64) error {
+	e, err := o.d.platform.Store.PutTenure(ctx, t, revision)
+	if err == nil || errors.Is(err, directory.ErrConflict) {
+		o.d.directory.Put(o.d.clock(), directory.Fleet, e)
+	}
+	if err != nil {
+		o.d.log.Warn("record of tenure not written", "service", t.Service, "epoch", t.Epoch, "error", err)
+	}
+	return err
+}
+
+// majorityLost asks the other VMs whether they have lost an owner.
+func (o *owners) majorityLost(t directory.Tenure) bool {
+	v := o.d.directory.View()
+	members := o.members()
+	votes := make(chan bool, len(members))
+	asked := 0
+	for _, name := range members {
+		if name == o.d.self.Name {
+			continue
+		}
+		l := o.d.peers.Get(v.VMs[name].Address)
+		if l == nil {
+			continue
+		}
+		asked++
+		go func() {
+			m, err := l.Call(peer.Message{Poll: &peer.Poll{Tenure: t}}, pollTimeout)
+			votes <- err == nil && m.Vote != nil && m.Vote.Lost
+		}()
+	}
+	yes := 0
+	if slices.Contains(members, o.d.self.Name) {
+		yes++
+	}
+	majority := len(members)/2 + 1
+	for range asked {
+		if yes >= majority {
+			break
+		}
+		if <-votes {
+			yes++
+		}
+	}
+	return yes >= majority
+}
+
+// handOver gives the services of this VM to others and waits until those serve.
+func (o *owners) handOver(ctx context.Context) {
+	v := o.d.directory.View()
+	for service, record := range v.Tenures {
+		if record.Holder != o.d.self.Holder() {
+			continue
+		}
+		o.mu.Lock()
+		t, now := o.tenures[service], o.d.bootClock()
+		members := o.members()
+		order := preference(v, service, func(vm directory.VM) bool {
+			// VMs whose promises do not count hear every few renewals only.
+			heard := t == nil || !slices.Contains(members, vm.Name) || t.SilentFor(now, vm.Name) < lease.Suspicion
+			return vm.Name != o.d.self.Name && !o.dead(vm.Holder()) && heard
+		})
+		o.mu.Unlock()
+		if len(order) == 0 {
+			continue
+		}
+		o.mu.Lock()
+		next := successor(record.Tenure, service, v.VMs[order[0]].Holder(), o.dead)
+		next.HandedOver = true
+		o.mu.Unlock()
+		o.d.log.Info("handing over", "service", service, "epoch", next.Epoch, "to", next.Holder.Name)
+		if err := o.write(ctx, next, record.Revision); err != nil {
+			o.d.log.Warn("service not handed over", "service", service, "error", err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/entryvm/renewal.go
@@ -0,0 +1,201 @@
+package entryvm
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"siskinrouter/internal/directory"
+	"siskinrouter/internal/lease"
+	"siskinrouter/internal/peer"
+)
+
+const (
+	// goneAfter is the silence after which a VM counts as gone for good; it exceeds the outages of the users'
+	// pages by far.
+	goneAfter = 45 * time.Second
+	// othersBeat is the number of rounds after which the VMs get a renewal whose promises do not count.
+	othersBeat = 4
+	// confirmInterval is the time between two readings of a record while the majority of the VMs is silent,
+	// and confirmBefore how long before the end of their promises they begin.
+	confirmInterval = 150 * time.Millisecond
+	confirmBefore   = 400 * time.Millisecond
+)
+
+// learnedTenure says when this VM learned of a tenure, on the clock of the leases.
+type learnedTenure struct {
+	epoch uint64
+	at    time.Duration
+}
+
+// confirm reads the records of tenures that the majority of the VMs does not renew. An owner that is cut
+// off from them together with the store goes on serving, since nobody else can become the owner.
+func (o *owners) confirm(ctx context.Context) error {
+	for ctx.Err() == nil {
+		sleep(ctx, confirmInterval)
+		now := o.d.bootClock()
+		members := o.members()
+		o.mu.Lock()
+		var ending []directory.Tenure
+		for _, t := range o.tenures {
+			if t.ValidUntil(members)-now < confirmBefore {
+				ending = append(ending, t.Record)
+			}
+		}
+		o.mu.Unlock()
+		for _, t := range ending {
+			go o.confirmOne(ctx, t)
+		}
+	}
+	return nil
+}
+
+func (o *owners) confirmOne(ctx context.Context, record directory.Tenure) {
+	started := o.d.bootClock()
+	ctx, cancel := context.WithTimeout(ctx, lease.RecordLifetime)
+	defer cancel()
+	e, err := o.d.platform.Store.Tenure(ctx, record.Service)
+	if err != nil || e.Tenure == nil {
+		o.d.log.Warn("tenure not confirmed", "service", record.Service, "error", err)
+		return
+	}
+	o.d.directory.Put(o.d.clock(), directory.Fleet, e)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	t := o.tenures[record.Service]
+	if t != nil && t.Record.Epoch == e.Tenure.Epoch && e.Tenure.Holder == o.d.self.Holder() {
+		t.Confirm(started)
+	}
+}
+
+// beat renews all tenures of this VM.
+func (o *owners) beat() {
+	now := o.d.bootClock()
+	o.mu.Lock()
+	if len(o.tenures) == 0 {
+		o.mu.Unlock()
+		return
+	}
+	var records []directory.Tenure
+	for _, t := range o.tenures {
+		records = append(records, t.Record)
+	}
+	o.mu.Unlock()
+	o.grant(o.d.self.Name, now, o.answerBeat(records))
+	v := o.d.directory.View()
+	m := peer.Message{Beat: &peer.Beat{
+		Sent: now, Tenures: records, Changed: v.Changed, Confirmed: o.d.confirmations(),
+	}}
+	o.beats++
+	all := o.beats%othersBeat == 0
+	members := o.members()
+	o.send(v, m, func(name string) bool { return all || slices.Contains(members, name) })
+}
+
+// answerBeat returns the services whose renewal this VM grants.
+func (o *owners) answerBeat(records []directory.Tenure) []string {
+	now := o.d.bootClock()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var granted []string
+	tenures := o.d.directory.View().Tenures
+	for _, t := range records {
+		if o.member.Beat(now, t, tenures[t.Service].Epoch, o.dead) {
+			granted = append(granted, t.Service)
+		}
+	}
+	return granted
+}
+
+// grant takes the answer of a VM to a renewal.
+func (o *owners) grant(vm string, sent time.Duration, services []string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, service := range services {
+		if t := o.tenures[service]; t != nil {
+			t.Grant(vm, sent)
+		}
+	}
+}
+
+// release voids the promise to an owner that has stopped.
+func (o *owners) release(r peer.Release) {
+	o.mu.Lock()
+	o.member.Release(r.Service, r.Epoch)
+	o.mu.Unlock()
+}
+
+// removeLost removes the records of VMs that have been silent for so long that they count as gone for
+// good, so that they no longer count for a majority. The VM with the duty to promote does so.
+func (o *owners) removeLost(ctx context.Context) {
+	v := o.d.directory.View()
+	duty, ok := dutyService(v)
+	if !ok || duty.Holder != o.d.self.Holder() {
+		return
+	}
+	holders := map[string]bool{o.d.self.Name: true}
+	for _, t := range v.Tenures {
+		holders[t.Holder.Name] = true
+	}
+	now := o.d.bootClock()
+	o.mu.Lock()
+	t := o.tenures[duty.Service]
+	var lost []string
+	for name := range v.VMs {
+		if t != nil && !holders[name] && t.SilentFor(now, name) > goneAfter {
+			lost = append(lost, name)
+		}
+	}
+	o.mu.Unlock()
+	for _, name := range lost {
+		o.d.log.Info("removing the record of a lost VM", "vm", name, "silent_for_more_than", goneAfter)
+		if err := o.d.platform.Store.DeleteVM(ctx, name); err != nil {
+			o.d.log.Warn("record of a lost VM not removed", "vm", name, "error", err)
+		}
+	}
+}
+
+// lost reports whether the owner of a service counts as lost.
+func (o *owners) lost(t directory.Tenure) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := o.d.bootClock()
+	return o.member.Lost(now, t, o.learn(now, t), o.dead)
+}
+
+// learn returns when this VM learned of a tenure. The mutex is held.
+func (o *owners) learn(now time.Duration, t directory.Tenure) time.Duration {
+	known, ok := o.learned[t.Service]
+	if !ok || known.epoch < t.Epoch {
+		known = learnedTenure{t.Epoch, now}
+		o.learned[t.Service] = known
+	}
+	return known.at
+}
+
+// refused remembers that no process listens at the address of a VM.
+func (o *owners) refused(address string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for name, vm := range o.d.directory.View().VMs {
+		if vm.Address == address {
+			o.refusedBy[name] = vm.Holder()
+		}
+	}
+}
+
+// connected forgets that a VM refused connections: this run of it lives.
+func (o *owners) connected(vm directory.VM) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.refusedBy[vm.Name] == vm.Holder() {
+		delete(o.refusedBy, vm.Name)
+	}
+}
+
+// heard reports whether the owner of a service renewed its tenure within the given time.
+func (o *owners) heard(t directory.Tenure, within time.Duration) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.member.Heard(o.d.bootClock(), t, within)
+}
--- a/internal/scenario/history_test.go
+++ b/internal/scenario/history_test.go
@@ -192,6 +192,22 @@
 	}
 }
 
+// primary waits until a server leads.
+func (h *history) primary(t testing.TB) *devtarget.Server {
+	t.Helper()
+	var p *devtarget.Server
+	err := poll(func() error {
+		if p = h.fleet.Groups[0].Primary(); p == nil {
+			return errors.New("no server leads")
+		}
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
 func (h *history) stopped() bool {
 	select {
 	case <-h.stop:
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -21,7 +21,8 @@
     skip=(-skip "^($names)\$")
   fi
 fi
-# Packages that run whole fleets, start processes and measure time limits run one after the other.
+# Packages that run whole fleets, start processes and measure time limits run one after the other, with few
+# tests at once: a fleet that lacks processor time replaces its primaries.
 fleets='^siskinrouter/(internal/scenario|platform|platform/soak)$'
 go list ./... | grep -vE "$fleets" | xargs go test -race -count=1 -p 4 -timeout 20m "${skip[@]}"
-go list ./... | grep -E "$fleets" | xargs go test -race -count=1 -p 1 -timeout 20m "${skip[@]}"
+go list ./... | grep -E "$fleets" | xargs go test -race -count=1 -p 1 -parallel 4 -timeout 20m "${skip[@]}"
