Bound what a fleet with many services tells its VMs

Owners of the first eight services watch the store and tell news at once; all others leave them two seconds. VMs whose promise does not count answer the renewals of those owners only. The order of the VMs by size is derived once for each change of the fleet instead of for each statement and renewal.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -1,11 +1,14 @@
 package directory
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // MissingGrace is how long a server is kept after its entry disappeared. Entries that lapse while the
@@ -15,11 +18,15 @@
 // View is an immutable state of the directory.
 type View struct {
 	Configuration *Configuration // nil before the first one is known
+	services      []string       // names of the services, sorted
 	Servers       map[string]Server
 	// Missing says since when the entry of a server that is still in Servers has been missing.
 	Missing   map[string]time.Duration
 	Withdrawn map[string]bool // failure domains
 	VMs       map[string]VM
+	// BySize holds the names of the VMs that do not leave, those with the most processor time first. VMs that
+	// know the same fleet have the same order.
+	BySize    []string
 	Left      map[Holder]bool // runs whose records were removed
 	Tenures   map[string]TenureEntry
 	Revisions [KindCount]uint64
@@ -39,6 +46,9 @@
 	return ok && !s.Draining && !v.Withdrawn[s.Domain]
 }
 
+// FirstServices returns the first n services by name.
+func (v *View) FirstServices(n int) []string { return v.services[:min(len(v.services), n)] }
+
 // Dead reports whether a run of a VM is known to have ended, because another run has replaced it or its
 // record was removed.
 func (v *View) Dead(h Holder) bool {
@@ -304,6 +314,9 @@
 	switch k {
 	case Configurations:
 		next.Configuration = d.configuration()
+		if next.Configuration != nil {
+			next.services = slices.Sorted(maps.Keys(next.Configuration.Services))
+		}
 	case Servers:
 		next.Servers, next.Missing = d.servers(now)
 	case Withdrawals:
@@ -313,6 +326,7 @@
 		}
 	case Fleet:
 		next.VMs, next.Tenures = d.fleet()
+		next.BySize = BySize(next.VMs)
 		next.Left = maps.Clone(d.left)
 	}
 	d.view.Store(&next)
@@ -321,6 +335,29 @@
 	}
 }
 
+// BySize returns the names of the VMs that do not leave in the order of their processor time. VMs of the same
+// size are ordered by a hash, so that the order does not follow their names, which tell failure domains.
+func BySize(fleet map[string]VM) []string {
+	type ranked struct {
+		VM
+		hash uint64
+	}
+	vms := make([]ranked, 0, len(fleet))
+	for _, vm := range fleet {
+		if !vm.Leaving {
+			vms = append(vms, ranked{vm, xxhash.Sum64String(vm.Name)})
+		}
+	}
+	slices.SortFunc(vms, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(b.Cores, a.Cores), cmp.Compare(a.hash, b.hash), cmp.Compare(a.Name, b.Name))
+	})
+	names := make([]string, len(vms))
+	for i, vm := range vms {
+		names[i] = vm.Name
+	}
+	return names
+}
+
 // configuration returns the latest version; the previous one stays if an object cannot be understood.
 func (d *Directory) configuration() *Configuration {
 	latest := d.view.Load().Configuration
--- a/internal/entryvm/handler.go
+++ b/internal/entryvm/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"siskinrouter/internal/broker"
 	"siskinrouter/internal/peer"
@@ -32,7 +33,9 @@
 			Sent: m.Beat.Sent, Services: d.owners.answerBeat(m.Beat.Tenures), Changed: d.directory.View().Changed,
 			Watching: d.watches(),
 		}
-		h.send(l, peer.Message{Grant: grant})
+		if h.answers(l.Remote().Name) {
+			h.send(l, peer.Message{Grant: grant})
+		}
 		d.offerNews(l, m.Beat.Changed, false)
 	case m.Grant != nil:
 		d.owners.grant(l.Remote().Name, m.Grant.Sent, m.Grant.Services)
@@ -66,6 +69,13 @@
 	}
 }
 
+// answers reports whether the owner that has sent a renewal needs the answer of this VM: its promise counts, or
+// the owner tells news to those that lack them.
+func (h *handler) answers(owner string) bool {
+	v := h.d.directory.View()
+	return slices.Contains(electors(v), h.d.self.Name) || ownsFirst(v, owner, newsServices)
+}
+
 // run runs a statement of another VM.
 func (h *handler) run(l *peer.Link, m peer.Message) {
 	reply := func(r broker.Result) { h.send(l, peer.Message{Seq: m.Seq, Answer: true, Result: &r}) }
--- a/internal/entryvm/news.go
+++ b/internal/entryvm/news.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"maps"
 	"math"
 	"os"
 	"os/signal"
@@ -27,10 +26,6 @@
 	// linkTime is added to the age of a confirmation that another VM has sent.
 	linkTime = 100 * time.Millisecond
 	never    = time.Duration(math.MaxInt64)
-	// recheckers is the number of services whose owners recheck; two, so that one may be cut off.
-	recheckers = 2
-	// watcherCount VMs watch the store besides the owners, so that the news arrive if all owners are cut off.
-	watcherCount = 3
 	// watchSilence is how long a VM hears no owner until it watches the store; renewals reach every VM at
 	// least once a second.
 	watchSilence = 1800 * time.Millisecond
@@ -45,8 +40,9 @@
 	retryFirst = 100 * time.Millisecond
 	retryMost  = 800 * time.Millisecond
 	// newsDelay is how long another VM may lack news before it is sent them; it usually gets them
-	// from the store by itself.
-	newsDelay = 500 * time.Millisecond
+	// from the store by itself. VMs that do not watch leave the others that time to tell.
+	newsDelay     = 500 * time.Millisecond
+	lateNewsDelay = 2 * time.Second
 	// reloadInterval is the time between two looks for a settings file that changed without a signal.
 	reloadInterval = 5 * time.Second
 )
@@ -54,23 +50,14 @@
 // watches reports whether this VM learns news from the store by itself. All calls are priced, so only
 // some VMs watch; the others are told by owners while they hear one.
 func (d *Daemon) watches() bool {
-	if d.owners.any() {
-		return true
-	}
 	v := d.directory.View()
-	if slices.Contains(watchers(v), d.self.Name) {
+	if ownsFirst(v, d.self.Name, newsServices) || slices.Contains(watchers(v), d.self.Name) {
 		return true
 	}
 	now := d.clock()
 	return now > startPatience && now-time.Duration(d.beatAt.Load()) > watchSilence
 }
 
-// watchers returns the VMs that watch the store even if they own no service.
-func watchers(v *directory.View) []string {
-	order := bySize(v)
-	return order[:min(len(order), watcherCount)]
-}
-
 // follow keeps a kind of objects up to date from the store.
 func (d *Daemon) follow(ctx context.Context, k directory.Kind) error {
 	if k == directory.Fleet && d.settings.Load().FirstStart {
@@ -203,19 +190,7 @@
 }
 
 // rechecks reports whether this VM owns one of the first services, whose owners recheck for all.
-func (d *Daemon) rechecks() bool {
-	v := d.directory.View()
-	if v.Configuration == nil {
-		return false
-	}
-	services := slices.Sorted(maps.Keys(v.Configuration.Services))
-	for _, service := range services[:min(len(services), recheckers)] {
-		if v.Tenures[service].Holder == d.self.Holder() {
-			return true
-		}
-	}
-	return false
-}
+func (d *Daemon) rechecks() bool { return ownsFirst(d.directory.View(), d.self.Name, recheckers) }
 
 // register records this run of the VM in the store, again if another VM took it for lost.
 func (d *Daemon) register(ctx context.Context) error {
@@ -285,11 +260,19 @@
 	}
 }
 
-// offerNews sends another VM what it lacks. It is given time to learn the latest news by itself.
+// offerNews sends another VM what it lacks. It is given time to learn the latest news by itself, or from the
+// VMs that watch the store.
 func (d *Daemon) offerNews(l *peer.Link, known [directory.KindCount]uint64, atOnce bool) {
+	delay := lateNewsDelay
+	switch tells := ownsFirst(d.directory.View(), d.self.Name, newsServices); {
+	case tells && atOnce:
+		delay = 0
+	case tells:
+		delay = newsDelay
+	}
 	for k := range directory.KindCount {
 		revision, since := d.newsSince(k)
-		if known[k] >= revision || !atOnce && d.clock()-since < newsDelay {
+		if known[k] >= revision || d.clock()-since < delay {
 			continue
 		}
 		news := d.directory.Changes(k, known[k])
--- a/internal/entryvm/preference.go
+++ b/internal/entryvm/preference.go
@@ -5,8 +5,6 @@
 	"maps"
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
-
 	"siskinrouter/internal/directory"
 )
 
@@ -20,7 +18,7 @@
 			owned[t.Holder.Name]++
 		}
 	}
-	names := bySize(v)
+	names := slices.Clone(v.BySize)
 	first := 0
 	if v.Configuration != nil && len(names) > 0 {
 		first = max(slices.Index(slices.Sorted(maps.Keys(v.Configuration.Services)), service), 0) % len(names)
@@ -32,9 +30,6 @@
 	return names
 }
 
-// weight orders VMs of the same size.
-func weight(vm string) uint64 { return xxhash.Sum64String(vm) }
-
 // successor returns the tenure that follows another one. Earlier owners that have ended are forgotten.
 func successor(t directory.Tenure, service string, holder directory.Holder, dead func(directory.Holder) bool) directory.Tenure {
 	next := directory.Tenure{Service: service, Epoch: t.Epoch + 1, Holder: holder, Primary: t.Primary}
@@ -56,28 +51,32 @@
 // electors returns the VMs whose promises to owners count. The order does not depend on who owns what, so
 // that two VMs that know the same fleet agree.
 func electors(v *directory.View) []string {
-	names := bySize(v)
+	names := v.BySize
 	if len(names) <= allElectors {
 		return names
 	}
 	return names[:electorCount]
 }
 
-// bySize returns the VMs in the order of their processor time.
-func bySize(v *directory.View) []string {
-	vms := make([]directory.VM, 0, len(v.VMs))
-	for _, vm := range v.VMs {
-		if !vm.Leaving {
-			vms = append(vms, vm)
+const (
+	// watcherCount VMs watch the store besides owners, so that the news arrive if all owners are cut off.
+	watcherCount = 3
+	// newsServices is the number of services whose owners watch the store and tell the others. If all owners
+	// did so, the calls and messages after a change would grow with VMs times services.
+	newsServices = 8
+	// recheckers is the number of services whose owners list the store again; two, so that one may be cut off.
+	recheckers = 2
+)
+
+// watchers returns the VMs that watch the store even if they own no service.
+func watchers(v *directory.View) []string { return v.BySize[:min(len(v.BySize), watcherCount)] }
+
+// ownsFirst reports whether a VM owns one of the first n services by name.
+func ownsFirst(v *directory.View, vm string, n int) bool {
+	for _, service := range v.FirstServices(n) {
+		if v.Tenures[service].Holder.Name == vm {
+			return true
 		}
 	}
-	slices.SortFunc(vms, func(a, b directory.VM) int {
-		return cmp.Or(cmp.Compare(b.Cores, a.Cores), cmp.Compare(weight(a.Name), weight(b.Name)),
-			cmp.Compare(a.Name, b.Name))
-	})
-	names := make([]string, len(vms))
-	for i, vm := range vms {
-		names[i] = vm.Name
-	}
-	return names
+	return false
 }
--- a/internal/entryvm/preference_test.go
+++ b/internal/entryvm/preference_test.go
@@ -22,6 +22,7 @@
 		name := fmt.Sprintf("service-%d", i)
 		v.Configuration.Services[name] = directory.Service{Name: name}
 	}
+	v.BySize = directory.BySize(v.VMs)
 	return v
 }
 
@@ -49,6 +50,7 @@
 	large := v.VMs["vm-3"]
 	large.Cores = 1.6
 	v.VMs["vm-3"] = large
+	v.BySize = directory.BySize(v.VMs)
 	is.Equal(preference(v, "service-1", anyVM)[0], "vm-3")
 }
 
