--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -59,7 +59,7 @@
 	// pressed is set while all slots go to statements that meet their objective: a late one has waited in vain,
 	// and others still wait. Further ones are refused at once.
 	pressed bool
-	service time.Duration        // running mean of the time from sending a statement to its answer
+	service time.Duration // running mean of the time from sending a statement to its answer
 }
 
 // New returns an empty queue of a server.
--- a/internal/audit/log.go
+++ b/internal/audit/log.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"siskinrouter/internal/platform"
+	"siskinrouter/internal/sleep"
 )
 
 // DefaultRecords is the number of records that the trail keeps, about 40 hours at 5,800 changes a
@@ -65,7 +66,7 @@
 		if err == nil || !transient(err) {
 			return e.record, err
 		}
-		if attempt == appendAttempts || sleep(ctx, wait) != nil {
+		if attempt == appendAttempts || sleep.For(ctx, jitter(wait)) != nil {
 			return e.record, e.unwritten(err)
 		}
 		wait = min(2*wait, retryMax)
@@ -117,7 +118,7 @@
 			continue
 		}
 		l.collided(e)
-		if err := sleep(ctx, e.collisionWait()); err != nil {
+		if err := sleep.For(ctx, jitter(e.collisionWait())); err != nil {
 			return err
 		}
 	}
@@ -243,14 +244,5 @@
 	return o, err
 }
 
-// sleep waits between half of d and d, or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d/2 + rand.N(d/2))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
+// jitter returns a time between half of d and d, so that writers that met do not meet again.
+func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d/2) }
--- a/internal/audit/recorder.go
+++ b/internal/audit/recorder.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"siskinrouter/internal/ring"
+	"siskinrouter/internal/sleep"
 )
 
 // drainTime is how long Run goes on writing buffered records after its context has ended.
@@ -92,7 +93,7 @@
 			r.failed.Add(1)
 			return true
 		}
-		if sleep(ctx, wait) != nil {
+		if sleep.For(ctx, jitter(wait)) != nil {
 			return false
 		}
 		wait = min(2*wait, retryMax)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -26,6 +26,7 @@
 	"siskinrouter/internal/retry"
 	"siskinrouter/internal/session"
 	"siskinrouter/internal/settings"
+	"siskinrouter/internal/sleep"
 	"siskinrouter/internal/verdict"
 )
 
@@ -277,7 +278,7 @@
 // runSweep repeats the check of connected callers, for access that ends by time.
 func (d *Daemon) runSweep(ctx context.Context) error {
 	for ctx.Err() == nil {
-		sleep(ctx, sweepEvery)
+		sleep.For(ctx, sweepEvery)
 		d.callers.Sweep()
 	}
 	return nil
@@ -291,7 +292,7 @@
 			state = platform.VMLeaving
 		}
 		d.registerNow(state)
-		sleep(ctx, registerEvery)
+		sleep.For(ctx, registerEvery)
 	}
 	return nil
 }
@@ -325,7 +326,7 @@
 				g.target.Pool(s.Name).SetLimit(d.linkBudget(s))
 			}
 		}
-		sleep(ctx, time.Second)
+		sleep.For(ctx, time.Second)
 	}
 	return nil
 }
--- a/internal/daemon/groups.go
+++ b/internal/daemon/groups.go
@@ -20,6 +20,7 @@
 	"siskinrouter/internal/promotion"
 	"siskinrouter/internal/ring"
 	"siskinrouter/internal/routing"
+	"siskinrouter/internal/sleep"
 	"siskinrouter/internal/target"
 )
 
@@ -252,7 +253,7 @@
 // so a full ring is waited for.
 func (g *group) offer(ctx context.Context, in promotion.Input) {
 	for !g.inputs.Offer(in) && ctx.Err() == nil {
-		sleep(ctx, time.Millisecond)
+		sleep.For(ctx, time.Millisecond)
 	}
 }
 
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -11,6 +11,7 @@
 	"siskinrouter/internal/fleet"
 	"siskinrouter/internal/machine"
 	"siskinrouter/internal/platform"
+	"siskinrouter/internal/sleep"
 )
 
 const (
@@ -248,7 +249,7 @@
 	for ctx.Err() == nil {
 		if err := m.follow(ctx); err != nil && ctx.Err() == nil {
 			m.d.counters.platformFailures.Inc(1)
-			sleep(ctx, watchBackoff)
+			sleep.For(ctx, watchBackoff)
 		}
 	}
 }
@@ -274,16 +275,6 @@
 	}
 }
 
-// sleep waits for a duration or until ctx ends.
-func sleep(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // learn takes over objects and passes news on.
 func (d *Daemon) learn(ctx context.Context, objects []platform.Object) {
 	names := d.config.apply(objects)
--- a/internal/daemon/owners.go
+++ b/internal/daemon/owners.go
@@ -12,6 +12,7 @@
 	"siskinrouter/internal/contract"
 	"siskinrouter/internal/grant"
 	"siskinrouter/internal/machine"
+	"siskinrouter/internal/sleep"
 )
 
 const (
@@ -73,7 +74,7 @@
 			d.counters.platformFailures.Inc(1)
 			d.log.Debug("owners not updated", "err", err)
 		}
-		sleep(ctx, ownersEvery)
+		sleep.For(ctx, ownersEvery)
 	}
 	return nil
 }
--- a/internal/daemon/rates.go
+++ b/internal/daemon/rates.go
@@ -12,6 +12,7 @@
 	"siskinrouter/internal/fleet"
 	"siskinrouter/internal/grant"
 	"siskinrouter/internal/machine"
+	"siskinrouter/internal/sleep"
 	"siskinrouter/internal/verdict"
 )
 
@@ -124,7 +125,7 @@
 	ctx, cancel := context.WithTimeout(ctx, admitWait)
 	defer cancel()
 	for ctx.Err() == nil {
-		sleep(ctx, min(max(wait, time.Millisecond), admitPause))
+		sleep.For(ctx, min(max(wait, time.Millisecond), admitPause))
 		attempt := time.Now()
 		if ok, wait, _ = r.try(w.Name, false); ok {
 			r.d.experiment.admitted(w.Name, attempt)
--- a/internal/daemon/ready.go
+++ b/internal/daemon/ready.go
@@ -5,6 +5,7 @@
 
 	"siskinrouter/internal/machine"
 	"siskinrouter/internal/routing"
+	"siskinrouter/internal/sleep"
 )
 
 const (
@@ -25,7 +26,7 @@
 			d.log.Info("ready for callers", "after", (d.now() - start).Round(time.Millisecond))
 			return
 		}
-		sleep(d.ctx, readyPause)
+		sleep.For(d.ctx, readyPause)
 	}
 	d.log.Warn("accepting callers without a complete configuration", "after", readyLimit)
 }
--- a/internal/devlink/network.go
+++ b/internal/devlink/network.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"net"
+	"siskinrouter/internal/sleep"
 	"sync"
 	"time"
 )
@@ -68,12 +69,12 @@
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		p, delay := n.path(from, address)
 		for n.isCut(p) {
-			sleep(ctx, dialRetry)
+			sleep.For(ctx, dialRetry)
 			if ctx.Err() != nil {
 				return nil, fmt.Errorf("failure domains %s and %s are cut off: %w", p.a, p.b, ctx.Err())
 			}
 		}
-		sleep(ctx, delay)
+		sleep.For(ctx, delay)
 		var d net.Dialer
 		conn, err := d.DialContext(ctx, network, address)
 		if err != nil || p.a == p.b {
@@ -110,13 +111,3 @@
 	defer n.mu.Unlock()
 	delete(n.conns, c)
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/internal/devtarget/conn.go
+++ b/internal/devtarget/conn.go
@@ -11,6 +11,7 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"siskinrouter/internal/sleep"
 	"siskinrouter/internal/verdict"
 )
 
@@ -183,7 +184,7 @@
 	c.s.mu.Lock()
 	delay := c.s.faults.answerDelay
 	c.s.mu.Unlock()
-	if err := sleep(c.ctx, delay); err != nil {
+	if err := sleep.For(c.ctx, delay); err != nil {
 		return err
 	}
 	if err := c.reachable(); err != nil {
@@ -192,21 +193,6 @@
 	return c.backend.Flush()
 }
 
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return context.Cause(ctx)
-	}
-}
-
 // startup performs the login and reports whether the client is a replica. An error of type
 // *refusal is sent to the client.
 func (c *conn) startup() (replica bool, err error) {
@@ -256,7 +242,7 @@
 		return false, err
 	}
 	if !replica {
-		if err := sleep(c.ctx, c.s.cfg.ConnectTime); err != nil {
+		if err := sleep.For(c.ctx, c.s.cfg.ConnectTime); err != nil {
 			return false, err
 		}
 	}
--- a/internal/devtarget/execute.go
+++ b/internal/devtarget/execute.go
@@ -9,6 +9,7 @@
 
 	"siskinrouter/internal/promotion"
 	"siskinrouter/internal/session"
+	"siskinrouter/internal/sleep"
 	"siskinrouter/internal/verdict"
 )
 
@@ -265,7 +266,7 @@
 		}
 		d += time.Duration(ms) * time.Millisecond
 	}
-	return sleep(ctx, d)
+	return sleep.For(ctx, d)
 }
 
 // lockKey takes the exclusive lock that a transaction needs before it writes a key or looks up
--- a/internal/devtarget/replicate.go
+++ b/internal/devtarget/replicate.go
@@ -11,6 +11,7 @@
 
 	"siskinrouter/internal/promotion"
 	"siskinrouter/internal/session"
+	"siskinrouter/internal/sleep"
 )
 
 const (
@@ -43,7 +44,7 @@
 		h := hello{Term: st.Promised, Boundaries: s.member.Boundaries()}
 		s.mu.Unlock()
 		s.replicateFrom(ctx, st.Primary, h)
-		if sleep(ctx, replicaRetry) != nil {
+		if sleep.For(ctx, replicaRetry) != nil {
 			return
 		}
 	}
@@ -102,7 +103,7 @@
 		s.mu.Lock()
 		delay := s.faults.replication
 		s.mu.Unlock()
-		if sleep(ctx, time.Until(m.arrived.Add(delay))) != nil {
+		if sleep.For(ctx, time.Until(m.arrived.Add(delay))) != nil {
 			return
 		}
 		if s.lockWhen(ctx, func() bool { return !s.faults.frozen && !s.faults.noPeers }) != nil {
--- a/internal/entryvm/claim.go
+++ b/internal/entryvm/claim.go
@@ -9,6 +9,7 @@
 	"siskinrouter/internal/directory"
 	"siskinrouter/internal/lease"
 	"siskinrouter/internal/peer"
+	"siskinrouter/internal/sleep"
 )
 
 const (
@@ -83,7 +84,7 @@
 	o.mu.Unlock()
 	o.d.log.Info("claiming service", "service", service, "epoch", next.Epoch, "prior", record.Holder.Name)
 	if err := o.write(ctx, next, record.Revision); err != nil {
-		sleep(ctx, claimPause)
+		sleep.For(ctx, claimPause)
 	}
 }
 
--- a/internal/entryvm/news.go
+++ b/internal/entryvm/news.go
@@ -13,6 +13,7 @@
 
 	"siskinrouter/internal/directory"
 	"siskinrouter/internal/peer"
+	"siskinrouter/internal/sleep"
 )
 
 const (
@@ -61,13 +62,13 @@
 // follow keeps a kind of objects up to date from the store.
 func (d *Daemon) follow(ctx context.Context, k directory.Kind) error {
 	if k == directory.Fleet && d.settings.Load().FirstStart {
-		sleep(ctx, meetTime)
+		sleep.For(ctx, meetTime)
 	}
 	pause := retryFirst
 	listed := false
 	for ctx.Err() == nil {
 		if listed && !d.watches() {
-			sleep(ctx, lookInterval)
+			sleep.For(ctx, lookInterval)
 			continue
 		}
 		err := d.followOnce(ctx, k, &listed)
@@ -82,7 +83,7 @@
 			continue
 		}
 		d.log.Warn("store lost", "kind", k, "error", err, "retry_in", pause)
-		sleep(ctx, pause)
+		sleep.For(ctx, pause)
 		pause = min(2*pause, retryMost)
 	}
 	return nil
@@ -116,7 +117,7 @@
 func (d *Daemon) recheckStore(ctx context.Context, k directory.Kind) error {
 	pause := recheckTick
 	for ctx.Err() == nil {
-		sleep(ctx, pause)
+		sleep.For(ctx, pause)
 		pause = recheckTick
 		if d.clock()-d.confirmedAt(k) < d.recheckAge(k) {
 			continue
@@ -199,7 +200,7 @@
 	for ctx.Err() == nil {
 		_, known := d.directory.View().VMs[d.self.Name]
 		if registered && (known || d.leaving.Load()) {
-			sleep(ctx, registerInterval)
+			sleep.For(ctx, registerInterval)
 			continue
 		}
 		e, err := d.platform.Store.PutVM(ctx, d.self)
@@ -209,7 +210,7 @@
 			continue
 		}
 		d.log.Warn("VM not registered", "error", err)
-		sleep(ctx, pause)
+		sleep.For(ctx, pause)
 		pause = min(2*pause, retryMost)
 	}
 	return nil
@@ -218,7 +219,7 @@
 // joinSeeds opens links to the seeds until the configuration is known, for a start without the store.
 func (d *Daemon) joinSeeds(ctx context.Context) error {
 	for ctx.Err() == nil && d.directory.View().Configuration == nil {
-		sleep(ctx, 2*retryFirst)
+		sleep.For(ctx, 2*retryFirst)
 		if d.clock() < claimDelay {
 			continue
 		}
@@ -299,12 +300,3 @@
 	revision uint64
 	since    time.Duration
 }
-
-func sleep(ctx context.Context, t time.Duration) {
-	timer := time.NewTimer(t)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/entryvm/renewal.go
+++ b/internal/entryvm/renewal.go
@@ -8,6 +8,7 @@
 	"siskinrouter/internal/directory"
 	"siskinrouter/internal/lease"
 	"siskinrouter/internal/peer"
+	"siskinrouter/internal/sleep"
 )
 
 const (
@@ -32,7 +33,7 @@
 // off from them together with the store goes on serving, since nobody else can become the owner.
 func (o *owners) confirm(ctx context.Context) error {
 	for ctx.Err() == nil {
-		sleep(ctx, confirmInterval)
+		sleep.For(ctx, confirmInterval)
 		now := o.d.bootClock()
 		members := o.members()
 		o.mu.Lock()
--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"siskinrouter/internal/sleep"
 	"strconv"
 	"strings"
 	"time"
@@ -156,7 +157,7 @@
 		if attempt == readAttempts || !errors.Is(err, ErrUnavailable) {
 			return err
 		}
-		if sleep(ctx, jitter(readRetryBase<<attempt)) != nil {
+		if sleep.For(ctx, jitter(readRetryBase<<attempt)) != nil {
 			return err
 		}
 	}
@@ -232,15 +233,3 @@
 
 // jitter returns a random time between half of d and d.
 func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d/2) }
-
-// sleep waits for d or until ctx ends, and returns the error of ctx in that case.
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/internal/platform/update.go
+++ b/internal/platform/update.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"siskinrouter/internal/sleep"
 	"time"
 )
 
@@ -81,7 +82,7 @@
 		if done {
 			return o, err
 		}
-		if attempt == updateAttempts || sleep(ctx, max(jitter(wait), askedWait(err))) != nil {
+		if attempt == updateAttempts || sleep.For(ctx, max(jitter(wait), askedWait(err))) != nil {
 			return Object{}, u.giveUp(err)
 		}
 		wait = min(2*wait, updateRetryMax)
