--- a/internal/entryvm/router.go
+++ b/internal/entryvm/router.go
@@ -24,16 +24,16 @@
 	ownerSilence = 1700 * time.Millisecond
 	// electorSilence is the same for VMs that get every renewal.
 	electorSilence = 700 * time.Millisecond
-	// isolationTime is how long no owner can be reached until this VM sends its callers to others.
+	// isolationTime is how long the owners of most services are out of reach until this VM sends its callers to
+	// others. The change of an owner takes about a second.
 	isolationTime = 1500 * time.Millisecond
 )
 
 // router finds the owner of a service for the sessions of this VM.
 type router struct {
-	d       *Daemon
-	streams atomic.Uint64
-	// reachedAt is when an owner was reached last, in nanoseconds on the daemon's clock.
-	reachedAt atomic.Int64
+	d         *Daemon
+	streams   atomic.Uint64
+	isolation isolation // used by look only
 }
 
 // View implements entry.Router.
@@ -118,20 +118,31 @@
 // ready reports whether the VM is to get new callers: it reaches the owners of most services.
 func (r *router) ready() bool {
 	reached, all := r.reached()
-	return !r.d.leaving.Load() && all > 0 && 2*reached >= all
+	return !r.d.leaving.Load() && reachesMost(reached, all)
 }
 
-// look sends the callers of a VM that reaches no owner to other VMs.
+// reachesMost reports whether a VM that reaches the owners of some services can serve callers. Those of one
+// service are no sign of it: a VM of the same failure domain may own it and be cut off as well.
+func reachesMost(reached, all int) bool { return all > 0 && 2*reached >= all }
+
+// isolation follows since when a VM has not reached the owners of most services.
+type isolation struct{ reachedAt time.Duration }
+
+// lasts reports whether the callers of the VM are to be sent to others.
+func (i *isolation) lasts(now time.Duration, reached, all int) bool {
+	if reachesMost(reached, all) {
+		i.reachedAt = now
+	}
+	return now-i.reachedAt > isolationTime
+}
+
+// look sends the callers of a VM that does not reach the owners to other VMs.
 func (r *router) look() {
-	now := r.d.clock()
 	r.giveUpReads()
-	reached, _ := r.reached()
-	if reached > 0 {
-		r.reachedAt.Store(int64(now))
-		return
-	}
-	if now-time.Duration(r.reachedAt.Load()) > isolationTime && r.d.callers.Sessions() > 0 {
-		r.d.log.Warn("no owner reached; closing resting sessions", "sessions", r.d.callers.Sessions())
+	reached, all := r.reached()
+	if r.isolation.lasts(r.d.clock(), reached, all) && r.d.callers.Sessions() > 0 {
+		r.d.log.Warn("owners not reached; closing resting sessions", "sessions", r.d.callers.Sessions(),
+			"reached", reached, "services", all)
 		r.d.callers.Shed()
 	}
 }
