--- a/internal/entryvm/claim.go
+++ b/internal/entryvm/claim.go
@@ -30,6 +30,7 @@
 		return
 	}
 	now := o.d.clock()
+	var all *candidates // once a service is vacant
 	for service := range v.Configuration.Services {
 		record, claimed := v.Tenures[service]
 		// A VM that has started again resumes its services at once; the others wait for it.
@@ -49,7 +50,11 @@
 			since = now
 			o.vacantSince[service] = now
 		}
-		due := resumed || now-since >= time.Duration(o.rank(v, service))*rankDelay
+		if all == nil {
+			all = o.candidates(v)
+		}
+		rank := all.standing.rank(service, o.d.self.Name, all.eligible)
+		due := resumed || now-since >= time.Duration(rank)*rankDelay
 		due = due && !o.claiming[service]
 		if due {
 			o.claiming[service] = true
@@ -61,12 +66,20 @@
 	}
 }
 
-// rank returns this VM's place in the order in which VMs claim a service. The mutex is held.
-func (o *owners) rank(v *directory.View, service string) int {
-	order := preference(v, service, func(vm directory.VM) bool {
-		return vm.Name == o.d.self.Name || !o.dead(vm.Holder())
-	})
-	return max(slices.Index(order, o.d.self.Name), 0)
+// candidates says which VM should claim a vacant service, as far as this VM knows. It holds for one look, since
+// many services can be vacant at once.
+type candidates struct {
+	standing *standing
+	eligible []bool
+}
+
+// candidates counts the services of the VMs that may live. The mutex is held.
+func (o *owners) candidates(v *directory.View) *candidates {
+	c := &candidates{standing: standings(v)}
+	for _, name := range c.standing.names {
+		c.eligible = append(c.eligible, !o.dead(v.VMs[name].Holder()))
+	}
+	return c
 }
 
 // claim makes this VM the owner of a service if a majority of the VMs has lost the owner, too.
--- a/internal/entryvm/preference.go
+++ b/internal/entryvm/preference.go
@@ -1,32 +1,76 @@
 package entryvm
 
 import (
-	"cmp"
-	"maps"
 	"slices"
 
 	"siskinrouter/internal/directory"
 )
 
-// preference returns the VMs in the order in which they should own a service: VMs that own fewer
-// services for their processor time come first. Among equals the order is rotated by the place of the
-// service, so that services that are claimed at the same time go to different VMs.
-func preference(v *directory.View, service string, eligible func(directory.VM) bool) []string {
-	owned := map[string]float64{}
+// standing says how loaded the VMs of a fleet are with services.
+type standing struct {
+	names []string // by size
+	index map[string]int
+	load  []float64      // services, one more included, for the processor time
+	place map[string]int // of a service among all
+}
+
+// standings counts the services of all VMs.
+func standings(v *directory.View) *standing {
+	s := &standing{names: v.BySize, index: make(map[string]int, len(v.BySize)), place: map[string]int{}}
+	for i, name := range s.names {
+		s.index[name] = i
+		s.load = append(s.load, 1/v.VMs[name].Cores)
+	}
 	for _, t := range v.Tenures {
-		if vm, ok := v.VMs[t.Holder.Name]; ok && t.Service != service && vm.Holder() == t.Holder {
-			owned[t.Holder.Name]++
+		i, ok := s.index[t.Holder.Name]
+		if vm := v.VMs[t.Holder.Name]; ok && vm.Holder() == t.Holder {
+			s.load[i] += 1 / vm.Cores
 		}
 	}
-	names := slices.Clone(v.BySize)
-	first := 0
-	if v.Configuration != nil && len(names) > 0 {
-		first = max(slices.Index(slices.Sorted(maps.Keys(v.Configuration.Services)), service), 0) % len(names)
+	for i, service := range v.SortedServices() {
+		s.place[service] = i
+	}
+	return s
+}
+
+// before reports whether VM i should own a service rather than VM j: VMs that own fewer services for their
+// processor time come first. Among equals the order is rotated by the place of the service, so that services
+// that are claimed at the same time go to different VMs.
+func (s *standing) before(service string, i, j int) bool {
+	if s.load[i] != s.load[j] {
+		return s.load[i] < s.load[j]
+	}
+	n := len(s.names)
+	turn := s.place[service] % n
+	return (i-turn+n)%n < (j-turn+n)%n
+}
+
+// rank returns how many of the eligible VMs should own a service rather than the given one. eligible is by
+// index.
+func (s *standing) rank(service, vm string, eligible []bool) int {
+	self, ok := s.index[vm]
+	if !ok {
+		return 0
+	}
+	n := 0
+	for i := range s.names {
+		if i != self && eligible[i] && s.before(service, i, self) {
+			n++
+		}
 	}
-	names = slices.Concat(names[first:], names[:first])
-	names = slices.DeleteFunc(names, func(name string) bool { return !eligible(v.VMs[name]) })
-	load := func(name string) float64 { return (owned[name] + 1) / v.VMs[name].Cores }
-	slices.SortStableFunc(names, func(a, b string) int { return cmp.Compare(load(a), load(b)) })
+	return n
+}
+
+// preference returns the eligible VMs in the order in which they should own a service.
+func preference(v *directory.View, service string, eligible func(directory.VM) bool) []string {
+	s := standings(v)
+	names := slices.DeleteFunc(slices.Clone(s.names), func(name string) bool { return !eligible(v.VMs[name]) })
+	slices.SortFunc(names, func(a, b string) int {
+		if s.before(service, s.index[a], s.index[b]) {
+			return -1
+		}
+		return 1
+	})
 	return names
 }
 
--- a/internal/entryvm/preference_test.go
+++ b/internal/entryvm/preference_test.go
@@ -9,21 +9,41 @@
 	"siskinrouter/internal/directory"
 )
 
-func fleetView(vms, services int) *directory.View {
-	v := &directory.View{
-		VMs: map[string]directory.VM{}, Tenures: map[string]directory.TenureEntry{},
-		Configuration: &directory.Configuration{Services: map[string]directory.Service{}},
-	}
+// fleetView returns a fleet of equal VMs, changed by the given functions, whose services nobody owns.
+func fleetView(vms, services int, changes ...func(map[string]directory.VM, map[string]directory.Tenure)) *directory.View {
+	fleet, tenures := map[string]directory.VM{}, map[string]directory.Tenure{}
 	for i := range vms {
 		name := fmt.Sprintf("vm-%d", i)
-		v.VMs[name] = directory.VM{Name: name, Incarnation: uint64(i), Cores: 0.4}
+		fleet[name] = directory.VM{Name: name, Incarnation: uint64(i), Cores: 0.4}
+	}
+	for _, change := range changes {
+		change(fleet, tenures)
+	}
+	l := directory.Listing{Kind: directory.Fleet, Revision: 1}
+	for name, vm := range fleet {
+		l.Entries = append(l.Entries, directory.Entry{Name: "vm." + name, Revision: 1, VM: &vm})
+	}
+	for name, t := range tenures {
+		l.Entries = append(l.Entries, directory.Entry{Name: "service." + name, Revision: 1, Tenure: &t})
 	}
+	c := &directory.Configuration{Version: 1, Services: map[string]directory.Service{}}
 	for i := range services {
 		name := fmt.Sprintf("service-%d", i)
-		v.Configuration.Services[name] = directory.Service{Name: name}
+		c.Services[name] = directory.Service{Name: name}
+	}
+	d := directory.New()
+	d.Replace(0, l)
+	d.Replace(0, directory.Listing{Kind: directory.Configurations, Revision: 1, Entries: []directory.Entry{
+		{Name: "main", Revision: 1, Configuration: c},
+	}})
+	return d.View()
+}
+
+// owns makes a VM the owner of a service.
+func owns(vm, service string) func(map[string]directory.VM, map[string]directory.Tenure) {
+	return func(fleet map[string]directory.VM, tenures map[string]directory.Tenure) {
+		tenures[service] = directory.Tenure{Service: service, Epoch: 1, Holder: fleet[vm].Holder()}
 	}
-	v.BySize = directory.BySize(v.VMs)
-	return v
 }
 
 func anyVM(directory.VM) bool { return true }
@@ -43,17 +63,33 @@
 // while larger ones are free.
 func TestServicesGoToFreeAndLargeVMs(t *testing.T) {
 	is := is.New(t)
-	v := fleetView(4, 3)
-	holder := v.VMs["vm-0"].Holder()
-	v.Tenures["service-0"] = directory.TenureEntry{Tenure: directory.Tenure{Service: "service-0", Holder: holder}}
+	v := fleetView(4, 3, owns("vm-0", "service-0"))
 	is.Equal(preference(v, "service-1", anyVM)[3], "vm-0")
-	large := v.VMs["vm-3"]
-	large.Cores = 1.6
-	v.VMs["vm-3"] = large
-	v.BySize = directory.BySize(v.VMs)
+	v = fleetView(4, 3, owns("vm-0", "service-0"), func(fleet map[string]directory.VM, _ map[string]directory.Tenure) {
+		large := fleet["vm-3"]
+		large.Cores = 1.6
+		fleet["vm-3"] = large
+	})
 	is.Equal(preference(v, "service-1", anyVM)[0], "vm-3")
 }
 
+// Guards against two VMs that claim a service at the same time because the rank differs from the order.
+func TestRankIsPlaceInOrder(t *testing.T) {
+	is := is.New(t)
+	v := fleetView(9, 5, owns("vm-2", "service-0"), owns("vm-2", "service-3"), owns("vm-5", "service-4"))
+	s := standings(v)
+	eligible := func(vm directory.VM) bool { return vm.Name != "vm-7" }
+	var list []bool
+	for _, name := range s.names {
+		list = append(list, eligible(v.VMs[name]))
+	}
+	for service := range v.Configuration.Services {
+		for place, name := range preference(v, service, eligible) {
+			is.Equal(s.rank(service, name, list), place)
+		}
+	}
+}
+
 // Guards against renewals that grow with the fleet, and against VMs that disagree on whose promises count.
 func TestElectors(t *testing.T) {
 	is := is.New(t)
@@ -61,7 +97,6 @@
 	large := fleetView(82, 8)
 	names := electors(large)
 	is.Equal(len(names), electorCount)
-	holder := large.VMs["vm-7"].Holder()
-	large.Tenures["service-0"] = directory.TenureEntry{Tenure: directory.Tenure{Service: "service-0", Holder: holder}}
+	large = fleetView(82, 8, owns("vm-7", "service-0"))
 	is.Equal(electors(large), names)
 }
