--- a/internal/entry/session_test.go
+++ b/internal/entry/session_test.go
@@ -215,7 +215,7 @@
 
 // Guards against answers that promise "not run" for a write or a commit whose answer was lost, and against
 // transactions that stay open at an owner that the session has given up.
-func TestLostAnswers(t *testing.T) {
+func TestAnswersOfLostOwner(t *testing.T) {
 	for _, test := range []struct {
 		name  string
 		begin bool
