Call what exists: one look at owned services, one wait, one list of services

Behaviour is unchanged. Daemon.owning had its own copy of owners.any, Peers.Wait its own wait with a context, the view two accessors for one list; the answer to a renewal is built only when it is sent.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -49,9 +49,6 @@
 // FirstServices returns the first n services by name.
 func (v *View) FirstServices(n int) []string { return v.services[:min(len(v.services), n)] }
 
-// SortedServices returns all services by name.
-func (v *View) SortedServices() []string { return v.services }
-
 // Dead reports whether a run of a VM is known to have ended, because another run has replaced it or its
 // record was removed.
 func (v *View) Dead(h Holder) bool {
--- a/internal/entryvm/daemon.go
+++ b/internal/entryvm/daemon.go
@@ -222,9 +222,7 @@
 			return true
 		}
 	}
-	d.owners.mu.Lock()
-	defer d.owners.mu.Unlock()
-	return len(d.owners.tenures) > 0
+	return d.owners.any()
 }
 
 // sweep looks at resting sessions and at entries that have expired.
--- a/internal/entryvm/handler.go
+++ b/internal/entryvm/handler.go
@@ -29,12 +29,11 @@
 	case m.Beat != nil:
 		d.beatAt.Store(int64(d.clock()))
 		d.confirmBy(m.Beat.Changed, m.Beat.Confirmed)
-		grant := &peer.Grant{
-			Sent: m.Beat.Sent, Services: d.owners.answerBeat(m.Beat.Tenures), Changed: d.directory.View().Changed,
-			Watching: d.watches(),
-		}
+		granted := d.owners.answerBeat(m.Beat.Tenures)
 		if h.answers(l.Remote().Name) {
-			h.send(l, peer.Message{Grant: grant})
+			h.send(l, peer.Message{Grant: &peer.Grant{
+				Sent: m.Beat.Sent, Services: granted, Changed: d.directory.View().Changed, Watching: d.watches(),
+			}})
 		}
 		d.offerNews(l, m.Beat.Changed, false)
 	case m.Grant != nil:
--- a/internal/entryvm/preference.go
+++ b/internal/entryvm/preference.go
@@ -1,6 +1,7 @@
 package entryvm
 
 import (
+	"math"
 	"slices"
 
 	"siskinrouter/internal/directory"
@@ -27,7 +28,7 @@
 			s.load[i] += 1 / vm.Cores
 		}
 	}
-	for i, service := range v.SortedServices() {
+	for i, service := range v.FirstServices(math.MaxInt) {
 		s.place[service] = i
 	}
 	return s
--- a/internal/peer/peers.go
+++ b/internal/peer/peers.go
@@ -11,6 +11,7 @@
 	"github.com/charmbracelet/log"
 
 	"siskinrouter/internal/netopt"
+	"siskinrouter/internal/sleep"
 )
 
 const (
@@ -171,10 +172,8 @@
 		if l := p.Get(address); l != nil {
 			return l
 		}
-		select {
-		case <-ctx.Done():
+		if sleep.For(ctx, pollInterval) != nil {
 			return nil
-		case <-time.After(pollInterval):
 		}
 	}
 }
