News are asked for by the VM that lacks them; configurations travel as patches

Cause: every owner of the first eight services sent what a VM lacked, again with each renewal until it had arrived. All VMs also took themselves for watchers of the store during the start, since they did not know the fleet yet, and watched for 20 s.

Now a renewal only names the latest change; who lacks it asks one VM at a time. A configuration is sent as the difference to the version that the asker has. Owners of the first two services renew with all VMs at once after a change of the configuration or of a withdrawal. Watching begins once the fleet is known.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -70,7 +70,9 @@
 	deleted [KindCount][]Entry
 	// complete is the revision from which on the deletions of a kind are known.
 	complete [KindCount]uint64
-	changed  []func(old, new *View)
+	// bases holds the latest configurations, oldest first.
+	bases   []Entry
+	changed []func(old, new *View)
 }
 
 // maxDeleted bounds the deletions that are remembered for each kind. A VM that lacks older ones is sent
@@ -109,6 +111,7 @@
 	objects := make(map[string]Entry, len(l.Entries))
 	for _, e := range l.Entries {
 		objects[e.Name] = e
+		d.keepBase(e)
 	}
 	for name, e := range d.objects[l.Kind] {
 		if _, ok := objects[name]; !ok {
@@ -143,6 +146,12 @@
 		return
 	}
 	changed := v.Changed[l.Kind]
+	for i := range l.Entries {
+		var ok bool
+		if l.Entries[i], ok = d.unpatch(l.Entries[i]); !ok {
+			return
+		}
+	}
 	for _, e := range l.Entries {
 		if e.Deleted {
 			// The store may name the revision before the deletion.
@@ -160,12 +169,12 @@
 	if l.Since == 0 {
 		return d.Replace(now, l)
 	}
-	v := d.View()
-	if l.Since > v.Changed[l.Kind] || l.Revision <= v.Revisions[l.Kind] {
+	before := d.View().Revisions[l.Kind]
+	if l.Since > before || l.Revision <= before {
 		return false
 	}
 	d.Update(now, l)
-	return true
+	return d.View().Revisions[l.Kind] > before
 }
 
 // Changes returns the changes of a kind after a revision, for another VM. It is the complete state if not
@@ -179,7 +188,7 @@
 	l := Listing{Kind: k, Since: since, Revision: d.view.Load().Revisions[k]}
 	for _, e := range d.objects[k] {
 		if e.Revision > since {
-			l.Entries = append(l.Entries, e)
+			l.Entries = append(l.Entries, d.patched(e, since))
 		}
 	}
 	for _, e := range d.deleted[k] {
@@ -292,6 +301,7 @@
 		delete(d.left, e.VM.Holder())
 	}
 	d.objects[k][e.Name] = e
+	d.keepBase(e)
 }
 
 // forget takes the removal of an object. A server whose entry is missing is kept for a while. The mutex is
--- a/internal/directory/types.go
+++ b/internal/directory/types.go
@@ -134,6 +134,8 @@
 	Server        *Server        `cbor:"5,keyasint,omitzero"`
 	VM            *VM            `cbor:"6,keyasint,omitzero"`
 	Tenure        *Tenure        `cbor:"7,keyasint,omitzero"`
+	// Patch stands for a configuration between VMs.
+	Patch *Patch `cbor:"8,keyasint,omitzero"`
 }
 
 // Listing is the state of a kind, or the changes of a kind, up to a revision of the store.
--- a/internal/entryvm/daemon.go
+++ b/internal/entryvm/daemon.go
@@ -53,7 +53,7 @@
 	beatAt    atomic.Int64                      // when an owner was heard last, on the daemon's clock
 	confirmed [directory.KindCount]atomic.Int64 // when the state of each kind was confirmed, on the daemon's clock
 	newsMu    sync.Mutex
-	news      [directory.KindCount]learned
+	wanted    [directory.KindCount]wanted
 }
 
 // New returns a daemon that does not serve yet.
@@ -68,7 +68,7 @@
 	d.settings.Store(&s)
 	d.owners = newOwners(d)
 	d.quotas = newQuotas(d)
-	d.peers = peer.New(&handler{d}, logger)
+	d.peers = peer.New(&handler{d}, logger, peer.NewMetrics(registry))
 	d.router = &router{d: d}
 	d.callers = entry.NewServer(entry.Config{
 		Router: d.router, Protocol: p.Protocol, Log: logger, Registry: registry, MaxSessions: s.maxSessions(),
@@ -107,6 +107,11 @@
 	if len(old.Withdrawn) != len(next.Withdrawn) {
 		d.log.Info("failure domains withdrawn", "domains", next.Withdrawn, "revision", next.Revisions[directory.Withdrawals])
 	}
+	for _, k := range []directory.Kind{directory.Configurations, directory.Withdrawals} {
+		if old.Changed[k] != next.Changed[k] && d.rechecks() {
+			d.owners.advertise.Store(true)
+		}
+	}
 	d.owners.apply(next)
 }
 
--- a/internal/entryvm/handler.go
+++ b/internal/entryvm/handler.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"siskinrouter/internal/broker"
+	"siskinrouter/internal/directory"
 	"siskinrouter/internal/peer"
 )
 
@@ -32,25 +33,28 @@
 		granted := d.owners.answerBeat(m.Beat.Tenures)
 		if h.answers(l.Remote().Name) {
 			h.send(l, peer.Message{Grant: &peer.Grant{
-				Sent: m.Beat.Sent, Services: granted, Changed: d.directory.View().Changed, Watching: d.watches(),
+				Sent: m.Beat.Sent, Services: granted, Changed: d.directory.View().Changed,
 			}})
 		}
-		d.offerNews(l, m.Beat.Changed, false)
+		d.fetchNews(l, m.Beat.Changed)
 	case m.Grant != nil:
 		d.owners.grant(l.Remote().Name, m.Grant.Sent, m.Grant.Services)
-		d.offerNews(l, m.Grant.Changed, !m.Grant.Watching)
+		d.fetchNews(l, m.Grant.Changed)
 	case m.Poll != nil:
 		h.send(l, peer.Message{Seq: m.Seq, Answer: true, Vote: &peer.Vote{Lost: d.owners.lost(m.Poll.Tenure)}})
 	case m.Release != nil:
 		d.owners.release(*m.Release)
 	case m.News != nil:
-		if d.directory.News(d.clock(), *m.News) {
-			d.log.Info("news of another VM", "from", l.Remote().Name, "kind", m.News.Kind, "revision", m.News.Revision)
-		}
+		h.news(l, *m.News)
 	case m.Hello != nil:
 		d.directory.Meet(d.clock(), m.Hello.VM)
 		d.owners.connected(m.Hello.VM)
-		d.offerNews(l, m.Hello.Changed, d.clock() > claimDelay)
+		d.fetchNews(l, m.Hello.Changed)
+	case m.Ask != nil:
+		if m.Ask.Kind < directory.KindCount {
+			news := d.directory.Changes(m.Ask.Kind, m.Ask.Since)
+			h.send(l, peer.Message{News: &news})
+		}
 	case m.Tokens != nil:
 		answer := &peer.Tokens{Workspace: m.Tokens.Workspace, Kept: d.quotas.keeps(m.Tokens.Workspace)}
 		if answer.Kept {
@@ -62,6 +66,24 @@
 	}
 }
 
+// news takes the changes of a kind from another VM. Changes that do not fit what this VM knows are replaced by
+// the complete state.
+func (h *handler) news(l *peer.Link, news directory.Listing) {
+	d := h.d
+	if news.Kind >= directory.KindCount {
+		return
+	}
+	if d.directory.News(d.clock(), news) {
+		d.log.Info("news of another VM", "from", l.Remote().Name, "kind", news.Kind, "revision", news.Revision)
+		return
+	}
+	if news.Since > 0 && news.Revision > d.directory.View().Revisions[news.Kind] {
+		d.log.Info("news do not fit; asking for the complete state", "from", l.Remote().Name, "kind", news.Kind,
+			"since", news.Since, "revision", news.Revision)
+		h.send(l, peer.Message{Ask: &peer.Ask{Kind: news.Kind}})
+	}
+}
+
 func (h *handler) send(l *peer.Link, m peer.Message) {
 	if err := l.Send(m); err != nil {
 		h.d.log.Debug("message not sent", "to", l.Remote().Name, "error", err)
@@ -69,10 +91,11 @@
 }
 
 // answers reports whether the owner that has sent a renewal needs the answer of this VM: its promise counts, or
-// the owner tells news to those that lack them.
+// the owner looks for VMs that are gone.
 func (h *handler) answers(owner string) bool {
 	v := h.d.directory.View()
-	return slices.Contains(electors(v), h.d.self.Name) || ownsFirst(v, owner, newsServices)
+	duty, ok := dutyService(v)
+	return slices.Contains(electors(v), h.d.self.Name) || ok && duty.Holder.Name == owner
 }
 
 // run runs a statement of another VM.
--- a/internal/entryvm/news.go
+++ b/internal/entryvm/news.go
@@ -40,10 +40,11 @@
 	// call is priced, also in an outage.
 	retryFirst = 100 * time.Millisecond
 	retryMost  = 800 * time.Millisecond
-	// newsDelay is how long another VM may lack news before it is sent them; it usually gets them
-	// from the store by itself. VMs that do not watch leave the others that time to tell.
-	newsDelay     = 500 * time.Millisecond
-	lateNewsDelay = 2 * time.Second
+	// newsDelay is how long a VM that watches the store waits for news from there before it asks another VM.
+	newsDelay = 500 * time.Millisecond
+	// askTimeout is how long a VM waits for the news that it asked for until it asks again. The complete state
+	// of a large fleet takes some ten milliseconds on a link of 20 Mbit/s.
+	askTimeout = 400 * time.Millisecond
 	// reloadInterval is the time between two looks for a settings file that changed without a signal.
 	reloadInterval = 5 * time.Second
 )
@@ -52,10 +53,18 @@
 // some VMs watch; the others are told by owners while they hear one.
 func (d *Daemon) watches() bool {
 	v := d.directory.View()
-	if ownsFirst(v, d.self.Name, newsServices) || slices.Contains(watchers(v), d.self.Name) {
+	if ownsFirst(v, d.self.Name, newsServices) {
 		return true
 	}
 	now := d.clock()
+	if now < claimDelay {
+		// The fleet is not known yet, so each VM would take itself for one of the watchers. Without a
+		// configuration there are no owners that tell.
+		return v.Configuration == nil
+	}
+	if slices.Contains(watchers(v), d.self.Name) {
+		return true
+	}
 	return now > startPatience && now-time.Duration(d.beatAt.Load()) > watchSilence
 }
 
@@ -179,12 +188,12 @@
 	return ages
 }
 
-// confirmBy takes the confirmations of a VM that knows the same state.
+// confirmBy takes the confirmations of a VM that knows no later state.
 func (d *Daemon) confirmBy(changed [directory.KindCount]uint64, ages [directory.KindCount]time.Duration) {
 	now := d.clock()
 	v := d.directory.View()
 	for k := range directory.KindCount {
-		if v.Changed[k] == changed[k] {
+		if v.Revisions[k] >= changed[k] {
 			d.confirm(k, now-ages[k]-linkTime)
 		}
 	}
@@ -261,42 +270,43 @@
 	}
 }
 
-// offerNews sends another VM what it lacks. It is given time to learn the latest news by itself, or from the
-// VMs that watch the store.
-func (d *Daemon) offerNews(l *peer.Link, known [directory.KindCount]uint64, atOnce bool) {
-	delay := lateNewsDelay
-	switch tells := ownsFirst(d.directory.View(), d.self.Name, newsServices); {
-	case tells && atOnce:
-		delay = 0
-	case tells:
-		delay = newsDelay
-	}
+// wanted is the news of a kind that another VM knows and this one lacks.
+type wanted struct {
+	revision uint64        // the latest that another VM has named
+	since    time.Duration // when this VM first heard of news beyond its own
+	asked    time.Duration // when another VM was asked for them last; 0 if none was
+}
+
+// fetchNews asks another VM for what it knows and this VM lacks. One VM is asked at a time: if all that know
+// news sent them, a change would cost VMs times owners.
+func (d *Daemon) fetchNews(l *peer.Link, changed [directory.KindCount]uint64) {
+	v := d.directory.View()
 	for k := range directory.KindCount {
-		revision, since := d.newsSince(k)
-		if known[k] >= revision || d.clock()-since < delay {
+		if changed[k] <= v.Revisions[k] || !d.mayAsk(k, changed[k]) {
 			continue
 		}
-		news := d.directory.Changes(k, known[k])
-		if err := l.Send(peer.Message{News: &news}); err != nil {
-			d.log.Debug("news not sent", "kind", k, "error", err)
+		if err := l.Send(peer.Message{Ask: &peer.Ask{Kind: k, Since: v.Revisions[k]}}); err != nil {
+			d.log.Debug("news not asked for", "kind", k, "error", err)
 			return
 		}
 	}
 }
 
-// newsSince returns the known revision of a kind and when it was learned.
-func (d *Daemon) newsSince(k directory.Kind) (revision uint64, since time.Duration) {
+// mayAsk reports whether it is time to ask for news of a kind. A VM that watches the store is given time to
+// learn them from there.
+func (d *Daemon) mayAsk(k directory.Kind, revision uint64) bool {
+	watches := d.watches()
+	now := d.clock()
 	d.newsMu.Lock()
 	defer d.newsMu.Unlock()
-	revision = d.directory.View().Changed[k]
-	if d.news[k].revision != revision {
-		d.news[k] = learned{revision, d.clock()}
+	w := &d.wanted[k]
+	if w.revision <= d.directory.View().Revisions[k] {
+		*w = wanted{since: now}
 	}
-	return revision, d.news[k].since
-}
-
-// learned says when a revision was first seen.
-type learned struct {
-	revision uint64
-	since    time.Duration
+	w.revision = max(w.revision, revision)
+	if watches && now-w.since < newsDelay || w.asked > 0 && now-w.asked < askTimeout {
+		return false
+	}
+	w.asked = now
+	return true
 }
--- a/internal/entryvm/owners.go
+++ b/internal/entryvm/owners.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"siskinrouter/internal/broker"
@@ -30,6 +31,8 @@
 	ending   []*broker.Broker
 	claiming map[string]bool
 	beats    int // rounds of renewals
+	// advertise is set when all VMs are to hear at once that there are news.
+	advertise atomic.Bool
 	// vacantSince says since when this VM has seen a service without an owner.
 	vacantSince map[string]time.Duration
 	refusedBy   map[string]directory.Holder // VMs at whose address no process listens, by name
@@ -58,8 +61,12 @@
 		case <-ctx.Done():
 			return nil
 		case <-beat.C:
-			o.beat()
+			o.beats++
+			o.beat(o.beats%othersBeat == 0)
 		case <-look.C:
+			if o.advertise.Swap(false) {
+				o.beat(true)
+			}
 			o.look(ctx)
 		case <-gone.C:
 			go o.removeLost(ctx)
--- a/internal/entryvm/renewal.go
+++ b/internal/entryvm/renewal.go
@@ -69,8 +69,8 @@
 	}
 }
 
-// beat renews all tenures of this VM.
-func (o *owners) beat() {
+// beat renews all tenures of this VM, with all VMs or with those whose promises count.
+func (o *owners) beat(all bool) {
 	now := o.d.bootClock()
 	o.mu.Lock()
 	if len(o.tenures) == 0 {
@@ -87,8 +87,6 @@
 	m := peer.Message{Beat: &peer.Beat{
 		Sent: now, Tenures: records, Changed: v.Changed, Confirmed: o.d.confirmations(),
 	}}
-	o.beats++
-	all := o.beats%othersBeat == 0
 	members := o.members()
 	o.send(v, m, func(name string) bool { return all || slices.Contains(members, name) })
 }
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -30,6 +30,7 @@
 	remote  directory.VM
 	seq     uint64
 	down    bool
+	sent    *Metrics
 }
 
 // call is a request that waits for its answer.
@@ -39,8 +40,8 @@
 	repeatable bool
 }
 
-func newLink(id uint64, conn net.Conn) *Link {
-	return &Link{ID: id, conn: conn, waiting: map[uint64]call{}}
+func newLink(id uint64, conn net.Conn, sent *Metrics) *Link {
+	return &Link{ID: id, conn: conn, sent: sent, waiting: map[uint64]call{}}
 }
 
 // Remote returns the VM at the other end as it introduced itself.
@@ -56,6 +57,10 @@
 	if err != nil {
 		return fmt.Errorf("encode message: %w", err)
 	}
+	l.sent.Bytes.Inc(int64(len(encoded)))
+	if m.News != nil {
+		l.sent.NewsBytes.Inc(int64(len(encoded)))
+	}
 	l.writeMu.Lock()
 	defer l.writeMu.Unlock()
 	if err := l.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
--- a/internal/peer/link_test.go
+++ b/internal/peer/link_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
 
 	"siskinrouter/internal/broker"
 	"siskinrouter/internal/directory"
@@ -15,6 +16,8 @@
 	"siskinrouter/internal/statement"
 )
 
+func unregistered() *Metrics { return NewMetrics(metrics.NewRegistry()) }
+
 func sampleRun() *broker.Request {
 	return &broker.Request{
 		Stream: 991, Service: "ledger", Workspace: "w7", First: true, Begin: statement.BeginRead, Consistency: directory.OwnWrites,
@@ -43,7 +46,8 @@
 		{End: &End{Stream: 5}},
 		{Beat: &Beat{Sent: time.Hour, Tenures: []directory.Tenure{tenure}, Changed: counts,
 			Confirmed: [directory.KindCount]time.Duration{time.Second, 0, -1, 5}}},
-		{Grant: &Grant{Watching: true, Sent: 1, Services: []string{"s"}, Changed: counts}},
+		{Grant: &Grant{Sent: 1, Services: []string{"s"}, Changed: counts}},
+		{Ask: &Ask{Kind: directory.Fleet, Since: 12}},
 		{Poll: &Poll{Tenure: tenure}},
 		{Seq: 2, Answer: true, Vote: &Vote{Lost: true}},
 		{Release: &Release{Service: "s", Epoch: 3}},
@@ -80,7 +84,7 @@
 	}
 	allocated := testing.AllocsPerRun(100, func() {
 		near, far := net.Pipe()
-		out, in := newLink(1, near), newLink(2, far)
+		out, in := newLink(1, near, unregistered()), newLink(2, far, unregistered())
 		got := make(chan struct{})
 		go func() { _ = in.read(func(*Link, Message) { close(got) }) }()
 		is.NoErr(out.Send(message))
@@ -96,7 +100,7 @@
 func pair(t *testing.T, handle func(*Link, Message)) *Link {
 	t.Helper()
 	near, far := net.Pipe()
-	out, in := newLink(1, near), newLink(2, far)
+	out, in := newLink(1, near, unregistered()), newLink(2, far, unregistered())
 	for _, l := range []*Link{out, in} {
 		go func() {
 			_ = l.read(handle)
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -27,6 +27,7 @@
 	Promote *Promote           `cbor:"13,keyasint,omitzero"`
 	Done    *Done              `cbor:"14,keyasint,omitzero"`
 	Tokens  *Tokens            `cbor:"15,keyasint,omitzero"`
+	Ask     *Ask               `cbor:"16,keyasint,omitzero"`
 }
 
 // Hello introduces a VM; it is the first message in each direction.
@@ -51,8 +52,6 @@
 
 // Grant answers a Beat with the services whose renewal is granted.
 type Grant struct {
-	// Watching is set if the sender learns news from the store by itself.
-	Watching bool                        `cbor:"1,keyasint,omitzero"`
 	Sent     time.Duration               `cbor:"2,keyasint,omitzero"` // of the Beat
 	Services []string                    `cbor:"3,keyasint,omitzero"`
 	Changed  [directory.KindCount]uint64 `cbor:"4,keyasint,omitzero"` // last change of each kind that the sender knows
@@ -85,6 +84,12 @@
 	Error string `cbor:"1,keyasint,omitzero"`
 }
 
+// Ask asks for the changes of a kind after a revision. The answer is a listing.
+type Ask struct {
+	Kind  directory.Kind `cbor:"1,keyasint,omitzero"`
+	Since uint64         `cbor:"2,keyasint,omitzero"`
+}
+
 // Tokens asks the keeper of a workspace's tokens for a number of them, and answers with the number that
 // it hands out. Kept is set in the answer if the VM is the keeper.
 type Tokens struct {
--- a/internal/peer/peers.go
+++ b/internal/peer/peers.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/rcrowley/go-metrics"
 
 	"siskinrouter/internal/netopt"
 	"siskinrouter/internal/sleep"
@@ -42,6 +43,21 @@
 	open    map[uint64]*Link     // all links, those of other VMs included
 	nextID  uint64
 	closed  bool
+	sent    *Metrics
+}
+
+// Metrics count what a VM sends to others.
+type Metrics struct {
+	Bytes     metrics.Counter
+	NewsBytes metrics.Counter // the part of Bytes that are listings
+}
+
+// NewMetrics registers the counters.
+func NewMetrics(r metrics.Registry) *Metrics {
+	return &Metrics{
+		Bytes:     metrics.GetOrRegisterCounter("links.sent_bytes", r),
+		NewsBytes: metrics.GetOrRegisterCounter("links.sent_news_bytes", r),
+	}
 }
 
 // outgoing is a link that this VM opens.
@@ -52,8 +68,8 @@
 }
 
 // New returns a VM's links.
-func New(h Handler, logger *log.Logger) *Peers {
-	return &Peers{handler: h, log: logger, out: map[string]*outgoing{}, open: map[uint64]*Link{}}
+func New(h Handler, logger *log.Logger, sent *Metrics) *Peers {
+	return &Peers{handler: h, log: logger, sent: sent, out: map[string]*outgoing{}, open: map[uint64]*Link{}}
 }
 
 // Get returns the link to a VM, or nil while it is being opened.
@@ -120,7 +136,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.nextID++
-	l := newLink(p.nextID, conn)
+	l := newLink(p.nextID, conn, p.sent)
 	p.open[l.ID] = l
 	if p.closed {
 		l.Close()
