Learn how many connections a server takes; leave half of them to a successor

Cause: a refused connection freed its slot and the next statement asked for one again at once, four times each. After a change of owner the servers still count the connections of the former owner, which kept as many as the bound allows.

Now the room shrinks to what is open when a server refuses a connection and grows with time and with success; statements wait for a connection meanwhile. At most half of the bound rests idle, and the connection of a workspace with several goes first.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -363,7 +363,7 @@
 		}
 		w.queued = true
 		s.running++
-		c, evicted, ok := s.pool.take(w)
+		c, evicted, ok := s.pool.take(now, w)
 		if !ok {
 			s.pool.waiting = append(s.pool.waiting, w)
 			continue
--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -30,6 +30,8 @@
 	busy    map[string]int // statements that run, by server
 	most    map[string]int // most statements that ran at once
 	open    map[string]int
+	dials   int
+	full    bool // no connection of a workspace is accepted
 	runs    []run
 	fail    func(server string, c statement.Command) (code statement.Code, breaks bool)
 }
@@ -49,6 +51,12 @@
 func (f *fakeServers) Dial(_ context.Context, s directory.Server, workspace string) (Conn, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if workspace != probeName {
+		f.dials++
+		if f.full {
+			return nil, &RefusedError{Code: statement.TooManyConnections}
+		}
+	}
 	f.open[s.ID]++
 	return &fakeConn{f: f, server: s.ID, workspace: workspace, settings: map[string]string{}}, nil
 }
--- a/internal/broker/pool.go
+++ b/internal/broker/pool.go
@@ -27,8 +27,8 @@
 
 // pool holds the connections of one server. It is guarded by the broker's mutex.
 type pool struct {
-	limit int
-	open  int // connections, including those being opened
+	room room
+	open int // connections, including those being opened
 	idle  map[string][]*conn
 	// waiting holds statements that have a slot but no connection.
 	waiting []*work
@@ -37,7 +37,7 @@
 // take returns an idle connection of a workspace, preferably one whose settings need no change. For a
 // connection to be opened it returns nil and true; the caller then opens one. evicted is to be closed
 // first. ok is false if all connections are busy.
-func (p *pool) take(w *work) (c, evicted *conn, ok bool) {
+func (p *pool) take(now time.Duration, w *work) (c, evicted *conn, ok bool) {
 	idle := p.idle[w.req.Workspace]
 	if len(idle) > 0 {
 		best := len(idle) - 1
@@ -51,7 +51,7 @@
 		p.idle[w.req.Workspace] = append(idle[:best], idle[best+1:]...)
 		return c, nil, true
 	}
-	if p.open < p.limit {
+	if p.open < p.room.size(now) {
 		p.open++
 		return nil, nil, true
 	}
@@ -61,12 +61,18 @@
 	return nil, nil, false
 }
 
-// oldest removes the idle connection that was used least recently.
+// oldest removes the idle connection that is missed least: of a workspace with several, the one that was used
+// least recently, so that each workspace keeps one as long as possible.
 func (p *pool) oldest() *conn {
 	var oldest *conn
+	spare := false // the workspace of oldest has others
 	for _, idle := range p.idle {
-		if len(idle) > 0 && (oldest == nil || idle[0].usedAt < oldest.usedAt) {
+		if len(idle) == 0 || spare && len(idle) == 1 {
+			continue
+		}
+		if oldest == nil || !spare && len(idle) > 1 || idle[0].usedAt < oldest.usedAt {
 			oldest = idle[0]
+			spare = len(idle) > 1
 		}
 	}
 	if oldest != nil {
@@ -76,10 +82,15 @@
 	return oldest
 }
 
-// put returns a connection after use.
-func (p *pool) put(now time.Duration, c *conn) {
+// put returns a connection after use. surplus is a connection to be closed, nil if none is.
+func (p *pool) put(now time.Duration, c *conn) (surplus *conn) {
 	c.usedAt = now
 	p.idle[c.workspace] = append(p.idle[c.workspace], c)
+	if p.idleCount() <= p.room.idleLimit() {
+		return nil
+	}
+	p.open--
+	return p.oldest()
 }
 
 // idleCount returns the number of idle connections.
--- /dev/null
+++ b/internal/broker/pool_test.go
@@ -0,0 +1,114 @@
+package broker
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"siskinrouter/internal/statement"
+)
+
+// mostRefusedDials is the number of connections over a server's bound that may be asked for in a day.
+const mostRefusedDials = 20
+
+// Guards against a new owner that floods a server which still counts the connections of a lost owner: each
+// statement asked for a connection again as soon as one was refused. The load is one statement a
+// millisecond; the connections of the former owner end after three seconds.
+func TestRoomAfterLostOwner(t *testing.T) {
+	is := is.New(t)
+	const serverTakes, lingering, linger = 60, 60, 3 * time.Second
+	r := room{limit: serverTakes}
+	open, refused := 0, 0
+	var full time.Duration // when the server was used to its bound
+	for now := time.Duration(0); now < 8*time.Second && full == 0; now += time.Millisecond {
+		if open >= r.size(now) {
+			continue
+		}
+		taken := open
+		if now < linger {
+			taken += lingering
+		}
+		if taken >= serverTakes {
+			refused++
+			r.refused(now, now, open)
+			continue
+		}
+		open++
+		r.accepted(open)
+		if open == serverTakes {
+			full = now
+		}
+	}
+	t.Logf("%d connections refused, all open after %v", refused, full)
+	is.True(refused < mostRefusedDials)
+	is.True(full > 0 && full < linger+lastRoomPause+time.Second)
+}
+
+// Guards against refusals of one round that count as several: connections that are being opened when the first
+// is refused say nothing new.
+func TestRoomCountsARoundOnce(t *testing.T) {
+	is := is.New(t)
+	r := room{limit: 20}
+	is.Equal(r.size(0), 20)
+	for left := 4; left >= 0; left-- {
+		r.refused(10*time.Millisecond, 0, left)
+	}
+	is.Equal(r.size(11*time.Millisecond), 0)
+	is.Equal(r.size(11*time.Millisecond+firstRoomPause), 1)
+}
+
+// Guards against servers that refuse connections by the hundred while a service changes its owner, and
+// against callers that are refused although a connection becomes free in their time. The load is 40 callers
+// that repeat a write; the servers are full for 600 ms.
+func TestFullServersAreNotFlooded(t *testing.T) {
+	is := is.New(t)
+	f := newFakeServers()
+	b, _ := newBroker(t, f, 20)
+	f.mu.Lock()
+	f.full = true
+	f.mu.Unlock()
+	time.AfterFunc(600*time.Millisecond, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.full = false
+	})
+	const callers = 40
+	codes := make(chan statement.Code, callers)
+	for range callers {
+		go func() {
+			req := request(statement.Write, "WRITE a 1")
+			req.Budget = 2 * time.Second
+			codes <- do(b, req).Answer.Code
+		}()
+	}
+	served := 0
+	for range callers {
+		if <-codes == statement.OK {
+			served++
+		}
+	}
+	f.mu.Lock()
+	dials := f.dials
+	f.mu.Unlock()
+	t.Logf("%d of %d served, %d connections asked for", served, callers, dials)
+	is.True(dials < mostRefusedDials+20)
+	is.True(served >= callers*9/10)
+}
+
+// Guards against a workspace that loses its only connection while another one keeps several, and against an
+// owner whose idle connections leave no room for its successor.
+func TestIdleConnections(t *testing.T) {
+	is := is.New(t)
+	p := pool{room: room{limit: 6}, idle: map[string][]*conn{}}
+	var closed []string
+	for i, workspace := range []string{"small", "large", "large", "large"} {
+		p.open++
+		if c := p.put(time.Duration(i), &conn{workspace: workspace}); c != nil {
+			closed = append(closed, c.workspace)
+		}
+	}
+	is.Equal(closed, []string{"large"})
+	is.Equal(len(p.idle["small"]), 1)
+	is.Equal(p.open, 3)
+}
--- a/internal/broker/run.go
+++ b/internal/broker/run.go
@@ -38,11 +38,15 @@
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
 	b.Metrics.Connects.Inc(1)
+	began := b.Clock()
 	raw, err := b.Dialer.Dial(ctx, server.Server, s.w.req.Workspace)
 	if err != nil {
-		b.dialFailed(s.w, err)
+		b.dialFailed(s.w, began, err)
 		return
 	}
+	b.mu.Lock()
+	server.pool.room.accepted(server.pool.open)
+	b.mu.Unlock()
 	b.run(s.w, &conn{
 		Conn: raw, server: server, workspace: s.w.req.Workspace,
 		settings: map[string]string{}, prepared: map[statement.Shape]string{},
@@ -50,15 +54,18 @@
 }
 
 // dialFailed places a statement anew after its connection could not be opened. It did not run.
-func (b *Broker) dialFailed(w *work, err error) {
+func (b *Broker) dialFailed(w *work, began time.Duration, err error) {
 	now := b.Clock()
 	b.Log.Warn("server connection failed", "id", w.req.Statement.ID, "service", b.Service, "server", w.server.ID, "error", err)
 	b.mu.Lock()
 	s := w.server
 	s.pool.open--
 	var refused *RefusedError
-	if !errors.As(err, &refused) {
+	switch {
+	case !errors.As(err, &refused):
 		b.distrust(s)
+	case refused.Code == statement.TooManyConnections:
+		s.pool.room.refused(now, began, s.pool.open)
 	}
 	start, replies := b.release(now, w, false)
 	more, others := b.again(now, w, "the server cannot be reached")
@@ -199,8 +206,9 @@
 	if w.tx != nil {
 		delete(b.txs, w.tx.key)
 	}
+	var surplus *conn
 	if keep && !b.closed {
-		c.server.pool.put(now, c)
+		surplus = c.server.pool.put(now, c)
 	} else {
 		c.server.pool.open--
 	}
@@ -213,6 +221,9 @@
 		// Closing the connection rolls an open transaction back.
 		_ = c.Close()
 	}
+	if surplus != nil {
+		_ = surplus.Close()
+	}
 }
 
 // join appends the results of a decision to those before.
@@ -328,8 +339,9 @@
 	now := b.Clock()
 	clean := err == nil && answers[0].Code == statement.OK && answers[0].State == statement.Idle
 	b.mu.Lock()
+	var surplus *conn
 	if clean && !b.closed {
-		c.server.pool.put(now, c)
+		surplus = c.server.pool.put(now, c)
 	} else {
 		c.server.pool.open--
 		clean = false
@@ -340,6 +352,9 @@
 	if !clean {
 		_ = c.Close()
 	}
+	if surplus != nil {
+		_ = surplus.Close()
+	}
 }
 
 // startWaiting gives free connections to the statements that wait for one, and free slots to those in
@@ -354,7 +369,7 @@
 			replies = append(replies, b.refuse(next, "no connection became free")...)
 			continue
 		}
-		c, evicted, ok := s.pool.take(next)
+		c, evicted, ok := s.pool.take(now, next)
 		if !ok {
 			break
 		}
--- a/internal/broker/servers.go
+++ b/internal/broker/servers.go
@@ -78,7 +78,7 @@
 	known.usable = usable
 	known.warm(d.Cold, service.WarmupRate)
 	known.slots = d.Slots
-	known.pool.limit = max(service.MaxConnections-reservedConns, 1)
+	known.pool.room.limit = max(service.MaxConnections-reservedConns, 1)
 	known.queue.SetSlots(d.Slots)
 	if leaves {
 		b.move(known)
--- a/internal/broker/succession.go
+++ b/internal/broker/succession.go
@@ -48,6 +48,12 @@
 	}
 	replies = append(replies, b.expireParked(now)...)
 	var start []started
+	for _, s := range b.servers {
+		if len(s.pool.waiting) > 0 {
+			// Room for connections grows with time, and some can no longer be served in time.
+			start, replies = join(start, replies)(b.startWaiting(now, s))
+		}
+	}
 	if p := b.servers[b.primary]; len(b.parked) > 0 && !b.changing && p != nil && !p.suspect && !p.saturated() {
 		start, replies = join(start, replies)(b.unpark(now))
 	}
