Refuse statements at once while their service has had no owner for long

Cause: each statement waited 300 ms for an owner, also seconds after the loss.

A statement waits only while a change of owner can be expected (1.2 s after the owner was missed). Ruled out: a shorter wait for all, which would refuse callers during planned changes.

TestPatienceWithMissingOwner: 400 callers of a missing owner wait 36 s in all, before 116 s.

--- a/internal/entryvm/daemon.go
+++ b/internal/entryvm/daemon.go
@@ -69,7 +69,7 @@
 	d.owners = newOwners(d)
 	d.quotas = newQuotas(d)
 	d.peers = peer.New(&handler{d}, logger, peer.NewMetrics(registry))
-	d.router = &router{d: d}
+	d.router = &router{d: d, missing: missing{}}
 	d.callers = entry.NewServer(entry.Config{
 		Router: d.router, Protocol: p.Protocol, Log: logger, Registry: registry, MaxSessions: s.maxSessions(),
 	})
--- a/internal/entryvm/router.go
+++ b/internal/entryvm/router.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -17,6 +18,9 @@
 	// ownerPatience is how long a statement waits while its service has no owner or none that can be
 	// reached. A planned hand-over takes less; after the loss of an owner callers are refused and return.
 	ownerPatience = 300 * time.Millisecond
+	// ownerChange is the time in which a service that has lost its owner usually has another one: the silence
+	// after which it counts as lost and the record of the next. After that, statements no longer wait.
+	ownerChange = 1200 * time.Millisecond
 	// ownerPoll is the time between two attempts in this time.
 	ownerPoll = 15 * time.Millisecond
 	// ownerSilence is the age up to which the last renewal of an owner shows that it can be reached. It
@@ -34,6 +38,29 @@
 	d         *Daemon
 	streams   atomic.Uint64
 	isolation isolation // used by look only
+	missingMu sync.Mutex
+	missing   missing
+}
+
+// missing says since when this VM has not reached the owner of a service, for those that it does not reach.
+type missing map[string]time.Duration
+
+// note records whether the owner of a service is reached.
+func (m missing) note(now time.Duration, service string, reached bool) {
+	if reached {
+		delete(m, service)
+	} else if _, known := m[service]; !known {
+		m[service] = now
+	}
+}
+
+// patience returns how long a statement should wait for the owner of a service. It answers the load of callers
+// that return to services without an owner: a statement that waits in vain could have been refused at once.
+func (m missing) patience(now time.Duration, service string) time.Duration {
+	if since, ok := m[service]; ok && now-since > ownerChange {
+		return 0
+	}
+	return ownerPatience
 }
 
 // View implements entry.Router.
@@ -46,6 +73,9 @@
 func (r *router) Run(req broker.Request) (broker.Result, entry.Place, error) {
 	began := r.d.clock()
 	budget := req.Budget
+	r.missingMu.Lock()
+	patience := min(r.missing.patience(began, req.Service), budget)
+	r.missingMu.Unlock()
 	for {
 		place := r.place(req.Service)
 		if place != nil {
@@ -56,7 +86,7 @@
 		}
 		waited := r.d.clock() - began
 		req.Budget = budget - waited
-		if waited >= min(ownerPatience, budget) {
+		if waited >= patience {
 			r.d.log.Info("owner not reached", "id", req.Statement.ID, "service", req.Service, "waited", waited)
 			return broker.Result{}, nil, peer.ErrNotSent
 		}
@@ -104,17 +134,33 @@
 	}
 	for service := range v.Configuration.Services {
 		all++
-		t, ok := v.Tenures[service]
-		if !ok {
-			continue
-		}
-		if t.Holder == r.d.self.Holder() && r.d.owners.Valid(service) || r.d.owners.heard(t.Tenure, r.silence()) {
+		if r.reaches(v, service) {
 			reached++
 		}
 	}
 	return reached, all
 }
 
+// reaches reports whether this VM hears the owner of a service, or is the owner.
+func (r *router) reaches(v *directory.View, service string) bool {
+	t, ok := v.Tenures[service]
+	return ok && (t.Holder == r.d.self.Holder() && r.d.owners.Valid(service) || r.d.owners.heard(t.Tenure, r.silence()))
+}
+
+// noteMissing records which services have an owner that this VM reaches.
+func (r *router) noteMissing() {
+	v := r.View()
+	if v.Configuration == nil {
+		return
+	}
+	now := r.d.clock()
+	r.missingMu.Lock()
+	defer r.missingMu.Unlock()
+	for service := range v.Configuration.Services {
+		r.missing.note(now, service, r.reaches(v, service))
+	}
+}
+
 // ready reports whether the VM is to get new callers: it reaches the owners of most services.
 func (r *router) ready() bool {
 	reached, all := r.reached()
@@ -139,6 +185,7 @@
 // look sends the callers of a VM that does not reach the owners to other VMs.
 func (r *router) look() {
 	r.giveUpReads()
+	r.noteMissing()
 	reached, all := r.reached()
 	if r.isolation.lasts(r.d.clock(), reached, all) && r.d.callers.Sessions() > 0 {
 		r.d.log.Warn("owners not reached; closing resting sessions", "sessions", r.d.callers.Sessions(),
--- a/internal/entryvm/router_test.go
+++ b/internal/entryvm/router_test.go
@@ -27,3 +27,28 @@
 		is.True(!i.lasts(now, 2, 3))
 	}
 }
+
+// Guards against statements that wait although their service has had no owner for long, and against refusals
+// during a usual change of owner. The load is a statement every 10 ms while an owner is missing for four seconds.
+func TestPatienceWithMissingOwner(t *testing.T) {
+	is := is.New(t)
+	m := missing{}
+	const lost, back = 10 * time.Second, 14 * time.Second
+	var waited time.Duration
+	for now := 9 * time.Second; now < 15*time.Second; now += 10 * time.Millisecond {
+		m.note(now, "ledger", now < lost || now >= back)
+		patience := m.patience(now, "ledger")
+		switch {
+		case now < lost+ownerChange || now >= back:
+			is.Equal(patience, ownerPatience)
+		case now > lost+ownerChange:
+			is.Equal(patience, time.Duration(0))
+		}
+		if now >= lost && now < back {
+			waited += min(patience, back-now)
+		}
+		is.Equal(m.patience(now, "other"), ownerPatience)
+	}
+	t.Logf("400 callers waited for %v in all", waited)
+	is.True(waited <= 2*ownerPatience*time.Duration(ownerChange/(10*time.Millisecond)))
+}
