Space the claims of VMs that the store does not answer; mend a deadlock of owners

After a claim that the store does not answer, a VM makes one at a time, after 0.4 s and at most 1.6 s.

Deadlock: a change of the records asked ending brokers for their transactions under the owners' mutex, while a broker asks for its lease under its own.

--- a/internal/broker/pool.go
+++ b/internal/broker/pool.go
@@ -29,7 +29,7 @@
 type pool struct {
 	room room
 	open int // connections, including those being opened
-	idle  map[string][]*conn
+	idle map[string][]*conn
 	// waiting holds statements that have a slot but no connection.
 	waiting []*work
 }
--- a/internal/entryvm/claim.go
+++ b/internal/entryvm/claim.go
@@ -9,7 +9,6 @@
 	"siskinrouter/internal/directory"
 	"siskinrouter/internal/lease"
 	"siskinrouter/internal/peer"
-	"siskinrouter/internal/sleep"
 )
 
 const (
@@ -17,12 +16,46 @@
 	claimDelay = 1200 * time.Millisecond
 	// rankDelay is how much later each further VM in the order of preference claims a service.
 	rankDelay = 60 * time.Millisecond
-	// claimPause is the time after a claim that the store did not take.
-	claimPause = 400 * time.Millisecond
+	// firstClaimPause is the time after a claim that the store did not answer; it doubles up to lastClaimPause.
+	// Each call is priced, also in an outage, and VMs that reach the store claim sooner.
+	firstClaimPause = 400 * time.Millisecond
+	lastClaimPause  = 1600 * time.Millisecond
 	// pollTimeout bounds the question whether other VMs have lost an owner, too.
 	pollTimeout = 300 * time.Millisecond
 )
 
+// claimPause spaces the claims of a VM that the store does not answer. It answers many vacant services while a
+// part of the fleet is cut from the store: each of these VMs would ask for each service again and again.
+type claimPause struct {
+	until, pause time.Duration // pause is 0 while the store answers
+	trying       bool          // a claim is on its way while the store is in doubt
+}
+
+// begin reports whether a claim may be made now.
+func (p *claimPause) begin(now time.Duration) bool {
+	if p.pause == 0 {
+		return true
+	}
+	if now < p.until || p.trying {
+		return false
+	}
+	p.trying = true
+	return true
+}
+
+// end records whether the store answered a claim. One that was not sent says nothing.
+func (p *claimPause) end(now time.Duration, sent, answered bool) {
+	p.trying = false
+	switch {
+	case !sent:
+	case answered:
+		p.pause = 0
+	default:
+		p.pause = min(max(2*p.pause, firstClaimPause), lastClaimPause)
+		p.until = now + p.pause
+	}
+}
+
 // look claims services whose owner is lost.
 func (o *owners) look(ctx context.Context) {
 	v := o.d.directory.View()
@@ -55,7 +88,7 @@
 		}
 		rank := all.standing.rank(service, o.d.self.Name, all.eligible)
 		due := resumed || now-since >= time.Duration(rank)*rankDelay
-		due = due && !o.claiming[service]
+		due = due && !o.claiming[service] && o.pause.begin(now)
 		if due {
 			o.claiming[service] = true
 		}
@@ -84,9 +117,11 @@
 
 // claim makes this VM the owner of a service if a majority of the VMs has lost the owner, too.
 func (o *owners) claim(ctx context.Context, service string, record directory.TenureEntry) {
+	sent, answered := false, false
 	defer func() {
 		o.mu.Lock()
 		delete(o.claiming, service)
+		o.pause.end(o.d.clock(), sent, answered)
 		o.mu.Unlock()
 	}()
 	if record.Epoch > 0 && record.Holder.Name != o.d.self.Name && !o.majorityLost(record.Tenure) {
@@ -96,9 +131,9 @@
 	next := successor(record.Tenure, service, o.d.self.Holder(), o.dead)
 	o.mu.Unlock()
 	o.d.log.Info("claiming service", "service", service, "epoch", next.Epoch, "prior", record.Holder.Name)
-	if err := o.write(ctx, next, record.Revision); err != nil {
-		sleep.For(ctx, claimPause)
-	}
+	sent = true
+	err := o.write(ctx, next, record.Revision)
+	answered = err == nil || errors.Is(err, directory.ErrConflict)
 }
 
 // write changes the record of a tenure and takes the outcome into the directory.
--- a/internal/entryvm/news.go
+++ b/internal/entryvm/news.go
@@ -45,6 +45,9 @@
 	// askTimeout is how long a VM waits for the news that it asked for until it asks again. The complete state
 	// of a large fleet takes some ten milliseconds on a link of 20 Mbit/s.
 	askTimeout = 400 * time.Millisecond
+	// needInterval is the time between two looks at whether a kind has to be listed or watched. A VM that
+	// resumes its services after a restart waits that long for its servers.
+	needInterval = 25 * time.Millisecond
 	// reloadInterval is the time between two looks for a settings file that changed without a signal.
 	reloadInterval = 5 * time.Second
 )
@@ -76,8 +79,8 @@
 	pause := retryFirst
 	listed := false
 	for ctx.Err() == nil {
-		if listed && !d.watches() {
-			sleep.For(ctx, lookInterval)
+		if listed && !d.watches() || !listed && !d.needs(k) {
+			sleep.For(ctx, needInterval)
 			continue
 		}
 		err := d.followOnce(ctx, k, &listed)
@@ -98,6 +101,12 @@
 	return nil
 }
 
+// needs reports whether this VM has to list a kind by itself. Servers and withdrawals are used by owners only;
+// the others learn them from owners in time for the day on which they own a service.
+func (d *Daemon) needs(k directory.Kind) bool {
+	return k == directory.Configurations || k == directory.Fleet || d.watches() || d.owners.any()
+}
+
 // followOnce lists a kind and watches it while this VM is to watch and no call fails. listed is set once
 // the kind was listed.
 func (d *Daemon) followOnce(ctx context.Context, k directory.Kind, listed *bool) error {
--- a/internal/entryvm/owners.go
+++ b/internal/entryvm/owners.go
@@ -22,7 +22,8 @@
 
 // owners carries out this VM's part in the ownership of services.
 type owners struct {
-	d       *Daemon
+	d *Daemon
+	// mu is never held during a call to a broker.
 	mu      sync.Mutex
 	member  *lease.Member
 	tenures map[string]*lease.Tenure
@@ -30,6 +31,7 @@
 	// ending holds brokers whose tenure has ended and whose transactions still run.
 	ending   []*broker.Broker
 	claiming map[string]bool
+	pause    claimPause
 	beats    int // rounds of renewals
 	// advertise is set when all VMs are to hear at once that there are news.
 	advertise atomic.Bool
@@ -121,7 +123,8 @@
 				"revision", record.Revision)
 		}
 	}
-	o.ending = slices.DeleteFunc(append(o.ending, ended...), func(b *broker.Broker) bool { return b.Streams() == 0 })
+	o.ending = append(o.ending, ended...)
+	ending := slices.Clone(o.ending)
 	for service, record := range v.Tenures {
 		o.learn(o.d.bootClock(), record.Tenure)
 		t := o.tenures[service]
@@ -145,6 +148,7 @@
 	for _, b := range ended {
 		b.Close()
 	}
+	o.forgetEnded(ending)
 	for _, t := range released {
 		o.announce(t)
 	}
@@ -153,6 +157,20 @@
 	}
 }
 
+// forgetEnded drops the brokers whose transactions have ended. The mutex is not held while a broker is asked:
+// brokers ask for the validity of the lease under their own.
+func (o *owners) forgetEnded(ending []*broker.Broker) {
+	var ended []*broker.Broker
+	for _, b := range ending {
+		if b.Streams() == 0 {
+			ended = append(ended, b)
+		}
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.ending = slices.DeleteFunc(o.ending, func(b *broker.Broker) bool { return slices.Contains(ended, b) })
+}
+
 // announce tells all VMs that this VM has stopped using a service.
 func (o *owners) announce(t directory.Tenure) {
 	r := peer.Release{Service: t.Service, Epoch: t.Epoch}
