--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -62,7 +62,6 @@
 			e.targetCommand(),
 			e.statusCommand(),
 			e.explainCommand(),
-			e.capacityCommand(),
 			e.devCommand(),
 			e.benchCommand(),
 			e.versionCommand(),
