Place reads where the workspace has a connection

Reads went to the least loaded server, so each workspace needed a connection to each, and the opening takes a slot for 12 ms while a read takes 18.

The expected wait at a server includes the opening, as measured, if no connection of the workspace rests there. Three quarters of the bound may rest instead of a half; the successor of a lost owner still finds more than the slots of a server.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -38,6 +38,7 @@
 	since   time.Duration
 	servers map[string]*server
 	history placement.History
+	opening time.Duration // running mean of the time that a server takes to open a connection
 	// primary is the server that leads; empty while it is not known or being replaced.
 	primary   string
 	recorded  string
@@ -106,7 +107,7 @@
 // New returns a broker that serves once its tenure is valid.
 func New(c Config, recorded string) *Broker {
 	b := &Broker{
-		Config: c, since: c.Clock(), servers: map[string]*server{}, txs: map[StreamKey]*tx{},
+		Config: c, since: c.Clock(), opening: firstOpening, servers: map[string]*server{}, txs: map[StreamKey]*tx{},
 		works: map[uint64]*work{}, recorded: recorded, weights: map[string]int{}, done: make(chan struct{}),
 	}
 	b.background.Add(1)
@@ -246,7 +247,7 @@
 	need := placement.Need{
 		Consistency: w.req.Consistency, MaxAge: w.req.MaxAge, Floor: w.req.Floor, Writes: w.writes(),
 	}
-	choice, ok := placement.Choose(now, b.candidates(), &b.history, need, w.avoid)
+	choice, ok := placement.Choose(now, b.candidates(w.req.Workspace), &b.history, need, w.avoid)
 	if !ok {
 		if b.awaitsPrimary() {
 			b.parked = append(b.parked, w)
@@ -325,13 +326,18 @@
 	return w.req.Writes()
 }
 
-// candidates describes the servers for a placement. The mutex is held.
-func (b *Broker) candidates() []placement.Server {
+// candidates describes the servers for a statement of a workspace. The mutex is held.
+func (b *Broker) candidates(workspace string) []placement.Server {
 	all := make([]placement.Server, 0, len(b.servers))
 	for _, s := range b.servers {
 		waiting, _ := s.queue.Len()
+		var opening time.Duration
+		if len(s.pool.idle[workspace]) == 0 {
+			opening = b.opening
+		}
 		all = append(all, placement.Server{
-			ID: s.ID, Slots: s.slots, Usable: s.usable && !s.saturated(), Primary: s.ID == b.primary && !b.changing,
+			Opening: opening,
+			ID:      s.ID, Slots: s.slots, Usable: s.usable && !s.saturated(), Primary: s.ID == b.primary && !b.changing,
 			Applied: s.status.Applied, Lag: s.status.Lag, Load: s.running + waiting, Service: s.queue.Service(),
 			BehindAt: s.behindAt, Suspect: s.suspect,
 		})
--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -31,6 +31,7 @@
 	most    map[string]int // most statements that ran at once
 	open    map[string]int
 	dials   int
+	opening time.Duration // of a connection
 	full    bool // no connection of a workspace is accepted
 	runs    []run
 	fail    func(server string, c statement.Command) (code statement.Code, breaks bool)
@@ -49,6 +50,7 @@
 }
 
 func (f *fakeServers) Dial(_ context.Context, s directory.Server, workspace string) (Conn, error) {
+	time.Sleep(f.opening)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if workspace != probeName {
--- a/internal/broker/room.go
+++ b/internal/broker/room.go
@@ -7,6 +7,8 @@
 	// refusal doubles it up to lastRoomPause: servers keep the connections of a lost VM for three seconds.
 	firstRoomPause = 100 * time.Millisecond
 	lastRoomPause  = 800 * time.Millisecond
+	// successorPart is the part of the bound, 1/4, that a successor finds free. It exceeds the slots of a server.
+	successorPart = 4
 )
 
 // room decides how many connections a server is asked for. The configuration bounds those of all callers
@@ -54,6 +56,6 @@
 	r.bounded = r.learned < r.limit
 }
 
-// idleLimit returns how many connections may rest. The other half is left to a successor, which finds the
+// idleLimit returns how many connections may rest. The others are left to a successor, which finds the
 // connections of a lost owner still counted by the servers.
-func (r *room) idleLimit() int { return max((r.limit+1)/2, 1) }
+func (r *room) idleLimit() int { return max(r.limit-r.limit/successorPart, 1) }
--- a/internal/broker/run.go
+++ b/internal/broker/run.go
@@ -20,6 +20,10 @@
 	// has lost the answer is told from a slow one by readPatience mean service times.
 	firstTry     = 200 * time.Millisecond
 	readPatience = 6
+	// firstOpening is the estimate of the time to open a connection before one was opened; openingShift sets the
+	// weight of a new measurement to 1/8.
+	firstOpening = 12 * time.Millisecond
+	openingShift = 3
 	// slowAfter is the time after which a statement is logged; the usual objectives are some hundred
 	// milliseconds.
 	slowAfter = 300 * time.Millisecond
@@ -46,6 +50,7 @@
 	}
 	b.mu.Lock()
 	server.pool.room.accepted(server.pool.open)
+	b.opening += (b.Clock() - began - b.opening) >> openingShift
 	b.mu.Unlock()
 	b.run(s.w, &conn{
 		Conn: raw, server: server, workspace: s.w.req.Workspace,
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -28,6 +28,8 @@
 	BehindAt time.Duration // when it last lacked a position
 	// Suspect is set from the failure of a connection until the server answers again.
 	Suspect bool
+	// Opening is the time until a connection for the statement is open; 0 if one rests.
+	Opening time.Duration
 }
 
 // Need is what a read asks of its server.
@@ -103,8 +105,9 @@
 	return !recentlyBehind && s.Applied.Term == p.Term && now-at > lagFactor*s.Lag+lagSlack
 }
 
-// expectedWait estimates the time until the answer of one more statement.
+// expectedWait estimates the time until the answer of one more statement. The opening of a connection occupies a
+// slot, so it is paid in full.
 func expectedWait(s Server) time.Duration {
 	rounds := float64(s.Load+1) / float64(max(s.Slots, 1))
-	return time.Duration(max(rounds, 1) * float64(s.Service))
+	return s.Opening + time.Duration(max(rounds, 1)*float64(s.Service))
 }
