--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -32,7 +32,7 @@
 	open    map[string]int
 	dials   int
 	opening time.Duration // of a connection
-	full    bool // no connection of a workspace is accepted
+	full    bool          // no connection of a workspace is accepted
 	runs    []run
 	fail    func(server string, c statement.Command) (code statement.Code, breaks bool)
 }
