A new owner tells all VMs of its tenure; watchers let news gather

Cause: other VMs learned of a new owner from the store's watchers, with the next renewal of one of them up to 0.8 s later; each change of the fleet ended a watch of each watcher, and a fleet that restarts changes with each VM.

Renewals carry the revisions of the records, and the first one goes to all VMs. Watchers of the fleet wait 250 ms, of the servers 100 ms, before they watch on.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -37,7 +37,7 @@
 // TenureEntry is a tenure and the revision of its record.
 type TenureEntry struct {
 	Tenure
-	Revision uint64
+	Revision uint64 `cbor:"7,keyasint,omitzero"`
 }
 
 // Usable reports whether new work may be sent to a server.
@@ -244,6 +244,21 @@
 	d.same(now, k)
 }
 
+// PutTenure takes the record of a tenure from the VM that holds it. A service whose record is not known yet is
+// left to the news.
+func (d *Directory) PutTenure(now time.Duration, t TenureEntry) {
+	if known, ok := d.View().Tenures[t.Service]; !ok || known.Revision >= t.Revision {
+		return
+	}
+	for _, e := range d.Listing(Fleet).Entries {
+		if e.Tenure != nil && e.Tenure.Service == t.Service {
+			e.Revision, e.Tenure = t.Revision, &t.Tenure
+			d.Put(now, Fleet, e)
+			return
+		}
+	}
+}
+
 // Meet takes the introduction of a VM.
 func (d *Directory) Meet(now time.Duration, v VM) {
 	d.mu.Lock()
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -127,3 +127,21 @@
 	d.Meet(0, VM{Name: "b", Incarnation: 1, Cores: 0.8})
 	is.Equal(d.View().BySize, []string{"b", "a"})
 }
+
+// Guards against VMs that go on asking a former owner until the store's news reach them, although the new owner
+// has told them; and against an earlier record that replaces a later one.
+func TestTenureFromItsHolder(t *testing.T) {
+	is := is.New(t)
+	d := New()
+	first := Tenure{Service: "s", Epoch: 1, Holder: Holder{Name: "a"}}
+	second := Tenure{Service: "s", Epoch: 2, Holder: Holder{Name: "b"}}
+	d.PutTenure(0, TenureEntry{second, 9})
+	is.Equal(len(d.View().Tenures), 0) // the name of the record is not known
+	d.Replace(0, Listing{Kind: Fleet, Revision: 5, Entries: []Entry{{Name: "service.s", Revision: 5, Tenure: &first}}})
+	d.PutTenure(0, TenureEntry{second, 9})
+	is.Equal(d.View().Tenures["s"].Holder.Name, "b")
+	d.PutTenure(0, TenureEntry{first, 5})
+	is.Equal(d.View().Tenures["s"].Holder.Name, "b")
+	d.Update(0, Listing{Kind: Fleet, Revision: 9, Entries: []Entry{{Name: "service.s", Revision: 9, Tenure: &second}}})
+	is.Equal(len(d.Listing(Fleet).Entries), 1)
+}
--- a/internal/entryvm/handler.go
+++ b/internal/entryvm/handler.go
@@ -30,6 +30,9 @@
 	case m.Beat != nil:
 		d.beatAt.Store(int64(d.clock()))
 		d.confirmBy(m.Beat.Changed, m.Beat.Confirmed)
+		for _, t := range m.Beat.Tenures {
+			d.directory.PutTenure(d.clock(), t)
+		}
 		granted := d.owners.answerBeat(m.Beat.Tenures)
 		if h.answers(l.Remote().Name) {
 			h.send(l, peer.Message{Grant: &peer.Grant{
--- a/internal/entryvm/news.go
+++ b/internal/entryvm/news.go
@@ -52,6 +52,12 @@
 	reloadInterval = 5 * time.Second
 )
 
+// watchPause is the time after news in which further ones gather, by kind: a watch ends with each change and is
+// priced, and a fleet that restarts changes with each VM. Owners tell of new tenures by themselves.
+var watchPause = [directory.KindCount]time.Duration{
+	directory.Servers: 100 * time.Millisecond, directory.Fleet: 250 * time.Millisecond,
+}
+
 // watches reports whether this VM learns news from the store by itself. All calls are priced, so only
 // some VMs watch; the others are told by owners while they hear one.
 func (d *Daemon) watches() bool {
@@ -127,6 +133,9 @@
 		}
 		d.directory.Update(d.clock(), changes)
 		after = max(after, changes.Revision)
+		if len(changes.Entries) > 0 {
+			sleep.For(ctx, watchPause[k])
+		}
 	}
 	return nil
 }
--- a/internal/entryvm/owners.go
+++ b/internal/entryvm/owners.go
@@ -137,6 +137,7 @@
 		}
 		o.d.log.Info("tenure begins", "service", service, "epoch", record.Epoch, "priors", len(record.Priors),
 			"primary", record.Primary)
+		o.advertise.Store(true) // callers of all VMs wait for the new owner
 		o.tenures[service] = lease.NewTenure(o.d.bootClock(), record.Tenure)
 		o.brokers[service] = broker.New(o.d.brokerConfig(service), record.Primary)
 	}
--- a/internal/entryvm/renewal.go
+++ b/internal/entryvm/renewal.go
@@ -77,13 +77,17 @@
 		o.mu.Unlock()
 		return
 	}
-	var records []directory.Tenure
-	for _, t := range o.tenures {
-		records = append(records, t.Record)
+	v := o.d.directory.View()
+	var records []directory.TenureEntry
+	for service, t := range o.tenures {
+		record := directory.TenureEntry{Tenure: t.Record}
+		if known := v.Tenures[service]; known.Epoch == t.Record.Epoch {
+			record.Revision = known.Revision
+		}
+		records = append(records, record)
 	}
 	o.mu.Unlock()
 	o.grant(o.d.self.Name, now, o.answerBeat(records))
-	v := o.d.directory.View()
 	m := peer.Message{Beat: &peer.Beat{
 		Sent: now, Tenures: records, Changed: v.Changed, Confirmed: o.d.confirmations(),
 	}}
@@ -92,14 +96,14 @@
 }
 
 // answerBeat returns the services whose renewal this VM grants.
-func (o *owners) answerBeat(records []directory.Tenure) []string {
+func (o *owners) answerBeat(records []directory.TenureEntry) []string {
 	now := o.d.bootClock()
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	var granted []string
 	tenures := o.d.directory.View().Tenures
 	for _, t := range records {
-		if o.member.Beat(now, t, tenures[t.Service].Epoch, o.dead) {
+		if o.member.Beat(now, t.Tenure, tenures[t.Service].Epoch, o.dead) {
 			granted = append(granted, t.Service)
 		}
 	}
--- a/internal/peer/link_test.go
+++ b/internal/peer/link_test.go
@@ -44,7 +44,7 @@
 			Position: session.Position{Term: 1, Offset: 2},
 		}}},
 		{End: &End{Stream: 5}},
-		{Beat: &Beat{Sent: time.Hour, Tenures: []directory.Tenure{tenure}, Changed: counts,
+		{Beat: &Beat{Sent: time.Hour, Tenures: []directory.TenureEntry{{Tenure: tenure, Revision: 9}}, Changed: counts,
 			Confirmed: [directory.KindCount]time.Duration{time.Second, 0, -1, 5}}},
 		{Grant: &Grant{Sent: 1, Services: []string{"s"}, Changed: counts}},
 		{Ask: &Ask{Kind: directory.Fleet, Since: 12}},
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -43,8 +43,9 @@
 
 // Beat renews the tenures of the sender.
 type Beat struct {
-	Sent    time.Duration      `cbor:"1,keyasint,omitzero"` // on the sender's clock
-	Tenures []directory.Tenure `cbor:"2,keyasint,omitzero"`
+	Sent time.Duration `cbor:"1,keyasint,omitzero"` // on the sender's clock
+	// Tenures come with the revisions of their records, so that VMs find a new owner before the store tells them.
+	Tenures []directory.TenureEntry `cbor:"2,keyasint,omitzero"`
 	// Confirmed is the age of the sender's confirmation that its state is that of the store.
 	Confirmed [directory.KindCount]time.Duration `cbor:"3,keyasint,omitzero"`
 	Changed   [directory.KindCount]uint64        `cbor:"4,keyasint,omitzero"` // last change of each kind that the sender knows
