--- a/internal/entryvm/preference.go
+++ b/internal/entryvm/preference.go
@@ -38,8 +38,8 @@
 }
 
 // servicesPerCore is up to how many services for a core the larger VMs own before smaller ones own any. Owners
-// renew with all VMs, so the messages of a fleet grow with their number. A service at rest takes about 0.5% of a
-// core for the status queries of three servers.
+// renew with all VMs, so the messages of a fleet grow with their number. A VM of 0.8 cores with 230 services used
+// 28% of its processor time.
 const servicesPerCore = 60
 
 // before reports whether VM i should own a service rather than VM j: larger VMs come first while they have room,
