--- a/docs/capacity_test.go
+++ b/docs/capacity_test.go
@@ -65,7 +65,7 @@
 		for i := range s.Sizes {
 			row += fmt.Sprintf(" | %v / %v", r.Middle[i], r.Busiest[i])
 		}
-		row += fmt.Sprintf(" | %.2f | %.3g |", p, atTarget)
+		row += fmt.Sprintf(" | %.2f | %.0f |", p, atTarget)
 		if !strings.Contains(string(page), row+"\n") {
 			t.Errorf("the page lacks the row\n%s", row)
 		}
