--- a/internal/entryvm/news.go
+++ b/internal/entryvm/news.go
@@ -45,8 +45,8 @@
 	// askTimeout is how long a VM waits for the news that it asked for until it asks again. The complete state
 	// of a large fleet takes some ten milliseconds on a link of 20 Mbit/s.
 	askTimeout = 400 * time.Millisecond
-	// needInterval is the time between two looks at whether a kind has to be listed or watched. A VM that
-	// resumes its services after a restart waits that long for its servers.
+	// needInterval is the time between two looks at whether a kind has to be listed while a VM starts: one that
+	// resumes its services waits that long for its servers.
 	needInterval = 25 * time.Millisecond
 	// reloadInterval is the time between two looks for a settings file that changed without a signal.
 	reloadInterval = 5 * time.Second
@@ -86,7 +86,7 @@
 	listed := false
 	for ctx.Err() == nil {
 		if listed && !d.watches() || !listed && !d.needs(k) {
-			sleep.For(ctx, needInterval)
+			sleep.For(ctx, d.needPause())
 			continue
 		}
 		err := d.followOnce(ctx, k, &listed)
@@ -113,6 +113,14 @@
 	return k == directory.Configurations || k == directory.Fleet || d.watches() || d.owners.any()
 }
 
+// needPause returns the time until the next look at whether a kind has to be listed or watched.
+func (d *Daemon) needPause() time.Duration {
+	if d.clock() < claimDelay {
+		return needInterval
+	}
+	return lookInterval
+}
+
 // followOnce lists a kind and watches it while this VM is to watch and no call fails. listed is set once
 // the kind was listed.
 func (d *Daemon) followOnce(ctx context.Context, k directory.Kind, listed *bool) error {
