Give connections back in one place; look at the services once for each look

No change of behaviour. finish and rollBack of a connection ended with the same steps; router.look asked twice for each service whether its owner is reached, and computed the list of electors for each of them; apply collected brokers in a loop that tested the same condition each time.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -336,10 +336,9 @@
 			opening = b.opening
 		}
 		all = append(all, placement.Server{
-			Opening: opening,
-			ID:      s.ID, Slots: s.slots, Usable: s.usable && !s.saturated(), Primary: s.ID == b.primary && !b.changing,
+			ID: s.ID, Slots: s.slots, Usable: s.usable && !s.saturated(), Primary: s.ID == b.primary && !b.changing,
 			Applied: s.status.Applied, Lag: s.status.Lag, Load: s.running + waiting, Service: s.queue.Service(),
-			BehindAt: s.behindAt, Suspect: s.suspect,
+			BehindAt: s.behindAt, Suspect: s.suspect, Opening: opening,
 		})
 	}
 	return all
--- a/internal/broker/run.go
+++ b/internal/broker/run.go
@@ -211,26 +211,27 @@
 	if w.tx != nil {
 		delete(b.txs, w.tx.key)
 	}
-	var surplus *conn
-	if keep && !b.closed {
-		surplus = c.server.pool.put(now, c)
-	} else {
-		c.server.pool.open--
-	}
+	surplus := b.giveBack(now, c, keep)
 	start, replies = join(start, replies)(b.release(now, w, o.err == nil))
 	start, replies = join(start, replies)(b.conclude(now, w, o))
-	closing := b.closed || !keep
 	b.mu.Unlock()
 	b.after(start, replies)
-	if closing {
-		// Closing the connection rolls an open transaction back.
-		_ = c.Close()
-	}
 	if surplus != nil {
+		// Closing a connection rolls an open transaction back.
 		_ = surplus.Close()
 	}
 }
 
+// giveBack returns a connection to its pool if it can be used further. surplus is the connection to be closed, nil
+// if none is. The mutex is held.
+func (b *Broker) giveBack(now time.Duration, c *conn, usable bool) (surplus *conn) {
+	if usable && !b.closed {
+		return c.server.pool.put(now, c)
+	}
+	c.server.pool.open--
+	return c
+}
+
 // join appends the results of a decision to those before.
 func join(start []started, replies []answered) func([]started, []answered) ([]started, []answered) {
 	return func(s []started, r []answered) ([]started, []answered) {
@@ -344,19 +345,10 @@
 	now := b.Clock()
 	clean := err == nil && answers[0].Code == statement.OK && answers[0].State == statement.Idle
 	b.mu.Lock()
-	var surplus *conn
-	if clean && !b.closed {
-		surplus = c.server.pool.put(now, c)
-	} else {
-		c.server.pool.open--
-		clean = false
-	}
+	surplus := b.giveBack(now, c, clean)
 	start, replies := b.startWaiting(now, c.server)
 	b.mu.Unlock()
 	b.after(start, replies)
-	if !clean {
-		_ = c.Close()
-	}
 	if surplus != nil {
 		_ = surplus.Close()
 	}
--- a/internal/entryvm/owners.go
+++ b/internal/entryvm/owners.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -147,14 +148,10 @@
 		o.advertise.Store(true) // callers of all VMs wait for the new owner
 		o.tenures[service] = lease.NewTenure(o.d.bootClock(), record.Tenure)
 		o.brokers[service] = broker.New(o.d.brokerConfig(service), record.Primary)
-		if !serving {
-			update = append(update, o.brokers[service])
-		}
+		update = append(update, o.brokers[service])
 	}
-	for _, b := range o.brokers {
-		if serving {
-			update = append(update, b)
-		}
+	if serving {
+		update = slices.Collect(maps.Values(o.brokers))
 	}
 	o.mu.Unlock()
 	for _, b := range ended {
--- a/internal/entryvm/router.go
+++ b/internal/entryvm/router.go
@@ -126,44 +126,47 @@
 	return ownerSilence
 }
 
-// reached returns how many services have an owner that this VM hears, and how many there are.
-func (r *router) reached() (reached, all int) {
+// reach says for each service whether this VM hears its owner, or is the owner.
+type reach map[string]bool
+
+// reach looks at all services.
+func (r *router) reach() reach {
 	v := r.View()
 	if v.Configuration == nil {
-		return 0, 0
+		return nil
 	}
+	silence := r.silence()
+	services := make(reach, len(v.Configuration.Services))
 	for service := range v.Configuration.Services {
-		all++
-		if r.reaches(v, service) {
-			reached++
-		}
+		t, ok := v.Tenures[service]
+		services[service] = ok && (t.Holder == r.d.self.Holder() && r.d.owners.Valid(service) || r.d.owners.heard(t.Tenure, silence))
 	}
-	return reached, all
+	return services
 }
 
-// reaches reports whether this VM hears the owner of a service, or is the owner.
-func (r *router) reaches(v *directory.View, service string) bool {
-	t, ok := v.Tenures[service]
-	return ok && (t.Holder == r.d.self.Holder() && r.d.owners.Valid(service) || r.d.owners.heard(t.Tenure, r.silence()))
+// count returns how many services have an owner that is reached, and how many there are.
+func (s reach) count() (reached, all int) {
+	for _, ok := range s {
+		if ok {
+			reached++
+		}
+	}
+	return reached, len(s)
 }
 
 // noteMissing records which services have an owner that this VM reaches.
-func (r *router) noteMissing() {
-	v := r.View()
-	if v.Configuration == nil {
-		return
-	}
+func (r *router) noteMissing(services reach) {
 	now := r.d.clock()
 	r.missingMu.Lock()
 	defer r.missingMu.Unlock()
-	for service := range v.Configuration.Services {
-		r.missing.note(now, service, r.reaches(v, service))
+	for service, reached := range services {
+		r.missing.note(now, service, reached)
 	}
 }
 
 // ready reports whether the VM is to get new callers: it reaches the owners of most services.
 func (r *router) ready() bool {
-	reached, all := r.reached()
+	reached, all := r.reach().count()
 	return !r.d.leaving.Load() && reachesMost(reached, all)
 }
 
@@ -185,8 +188,9 @@
 // look sends the callers of a VM that does not reach the owners to other VMs.
 func (r *router) look() {
 	r.giveUpReads()
-	r.noteMissing()
-	reached, all := r.reached()
+	services := r.reach()
+	r.noteMissing(services)
+	reached, all := services.count()
 	if r.isolation.lasts(r.d.clock(), reached, all) && r.d.callers.Sessions() > 0 {
 		r.d.log.Warn("owners not reached; closing resting sessions", "sessions", r.d.callers.Sessions(),
 			"reached", reached, "services", all)
