Serve reads at the replicas of the caller's failure domain

Change: in each domain without the owner, one VM reads at the replica of the domain. It needs no lease: the owner tells it the primary's position on request, aged from the request on, on a clock that counts suspension; each read names the position that the replica must have applied. What the replica cannot serve within half the latency objective goes to the owner, counted once against the rate. A replica's connections are divided, 3/4 for the readers. The choice of a server prefers those of the VM's own domain while they answer within a quarter of the objective.

Ruled out: an owner for each server (three leases instead of one, shared slots, positions passed on under a lease); the reader gets most of it with soft state, and what it cannot do falls back to the owner.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -29,6 +29,10 @@
 	Log         *log.Logger
 	Metrics     *Metrics
 	Clock       func() time.Duration // monotonic, since the start of the process
+	Domain      string               // failure domain of this VM
+	// ReplicasOnly makes a broker that serves reads at the replicas of Domain on behalf of the owner. What it cannot
+	// serve at once it leaves to the owner.
+	ReplicasOnly bool
 }
 
 // Broker owns the connections to the servers of one service.
@@ -63,6 +67,8 @@
 type server struct {
 	directory.Server // as first listed; fields that change are kept below
 	usable           bool
+	shared           bool          // VMs of the server's failure domain read there if it is a replica
+	maxConns         int           // connections that the server accepts, without the reserve
 	warmup           *rate.Limiter // limits a server that is warming up, otherwise nil
 	slots            int
 	queue            *admission.Queue
@@ -92,6 +98,7 @@
 	choice    placement.Choice
 	holdsSlot bool // holds a slot of the server's queue
 	abandoned bool // the caller no longer waits for the rest of the stream
+	admitted  bool // counted against the workspace's rate limit
 	tx        *tx
 }
 
@@ -144,7 +151,7 @@
 	}
 	b.mu.Unlock()
 	for _, e := range refused {
-		e.reply(Result{Stream: e.req.Stream, NotOwner: true})
+		e.reply(notOwnerResult(e))
 	}
 }
 
@@ -182,13 +189,20 @@
 		reply(Result{Stream: req.Stream, NotOwner: true})
 		return
 	}
+	declined := b.ReplicasOnly && !b.servesNow(now, e)
 	b.mu.Unlock()
-	if !req.First {
+	if declined {
+		reply(Result{Stream: req.Stream, NotOwner: true, Admitted: req.Admitted})
+		return
+	}
+	if !req.First || req.Admitted {
+		e.admitted = req.Admitted
 		b.admit(e)
 		return
 	}
 	b.RateLimiter.Admit(req.Workspace, func(ok bool) {
 		if ok {
+			e.admitted = true
 			b.admit(e)
 			return
 		}
@@ -204,7 +218,7 @@
 	b.mu.Lock()
 	if b.closed {
 		b.mu.Unlock()
-		e.reply(Result{Stream: e.req.Stream, NotOwner: true})
+		e.reply(notOwnerResult(e))
 		return
 	}
 	b.nextID++
@@ -220,6 +234,11 @@
 	return Result{Stream: e.req.Stream, Response: statement.Refusal(statement.Overloaded, reason)}
 }
 
+// notOwnerResult is the result of a statement that did not run and that the owner of the service may serve.
+func notOwnerResult(e *execution) Result {
+	return Result{Stream: e.req.Stream, NotOwner: true, Admitted: e.admitted}
+}
+
 // pendingReply is a result to be sent once the mutex is released.
 type pendingReply struct {
 	execution *execution
@@ -245,11 +264,7 @@
 
 // route chooses a server and queues the statement there. The mutex must be held.
 func (b *Broker) route(now time.Duration, e *execution) ([]dispatched, []pendingReply) {
-	need := placement.Requirements{
-		Consistency: e.req.Consistency, MaxStaleness: e.req.MaxStaleness, MinPosition: e.req.MinPosition,
-		Writes: e.needsPrimary(),
-	}
-	choice, ok := placement.Choose(now, b.candidates(e.req.Workspace), &b.history, need, e.avoid)
+	choice, ok := b.choose(now, e, 0)
 	if !ok {
 		if b.primaryExpected() {
 			b.waitingForPrimary = append(b.waitingForPrimary, e)
@@ -271,6 +286,15 @@
 	return start, append(replies, more...)
 }
 
+// choose chooses a server that is expected to answer a statement within maxLatency; 0 means no limit. The mutex must be
+// held.
+func (b *Broker) choose(now time.Duration, e *execution, maxLatency time.Duration) (placement.Choice, bool) {
+	return placement.Choose(now, b.candidates(e.req.Workspace), &b.history, placement.Requirements{
+		Consistency: e.req.Consistency, MaxStaleness: e.req.MaxStaleness, MinPosition: e.req.MinPosition,
+		Writes: e.needsPrimary(), LatencyObjective: e.req.LatencyObjective, MaxLatency: maxLatency,
+	}, e.avoid)
+}
+
 // saturated reports whether a server that is warming up has reached its rate limit.
 func (s *server) saturated() bool { return s.warmup != nil && s.warmup.Tokens() < 1 }
 
@@ -287,6 +311,9 @@
 
 // primaryExpected reports whether the group is about to have another primary. The mutex must be held.
 func (b *Broker) primaryExpected() bool {
+	if b.ReplicasOnly {
+		return false
+	}
 	if b.changingPrimary || b.primary == "" {
 		return true
 	}
@@ -340,7 +367,7 @@
 		all = append(all, placement.Server{
 			ID: s.ID, Slots: s.slots, Usable: s.usable && !s.saturated(), Primary: s.ID == b.primary && !b.changingPrimary,
 			Applied: s.status.Applied, Lag: s.status.Lag, Load: s.running + waiting, Service: s.queue.ServiceTime(),
-			LaggedAt: s.behindAt, Suspect: s.suspect, ConnectDelay: dialTime,
+			LaggedAt: s.behindAt, Suspect: s.suspect, ConnectDelay: dialTime, Near: s.Domain == b.Domain,
 		})
 	}
 	return all
@@ -349,6 +376,9 @@
 // refuse refuses a statement that did not run. The mutex must be held.
 func (b *Broker) refuse(e *execution, reason string) []pendingReply {
 	delete(b.executions, e.id)
+	if b.ReplicasOnly {
+		return []pendingReply{{e, notOwnerResult(e)}}
+	}
 	b.Metrics.Refused.Inc(1)
 	b.Log.Info("refused", "id", e.req.Statement.ID, "service", b.Service, "workspace", e.req.Workspace,
 		"reason", reason, "waited", b.Clock()-e.arrived)
--- a/internal/broker/primarychange.go
+++ b/internal/broker/primarychange.go
@@ -61,7 +61,7 @@
 	}
 	var action placement.Action
 	valid := b.Lease.Valid(b.Service)
-	if !b.changingPrimary && valid {
+	if !b.changingPrimary && valid && !b.ReplicasOnly {
 		action = placement.NextAction(now, b.group(now))
 	}
 	if action.Follow != "" {
@@ -100,6 +100,7 @@
 		"position", s.status.Received)
 	b.primary = s.ID
 	b.history.Reset()
+	b.setConnLimits()
 	return b.resumeWaiting(now)
 }
 
--- a/internal/broker/run.go
+++ b/internal/broker/run.go
@@ -99,7 +99,10 @@
 	e.avoid = e.server.ID
 	if b.closed {
 		delete(b.executions, e.id)
-		return nil, []pendingReply{{e, Result{Stream: e.req.Stream, NotOwner: true}}}
+		return nil, []pendingReply{{e, notOwnerResult(e)}}
+	}
+	if b.ReplicasOnly {
+		return nil, b.refuse(e, reason)
 	}
 	if e.attempts >= maxAttempts || now >= e.deadline {
 		return nil, b.refuse(e, reason)
--- a/internal/broker/servers.go
+++ b/internal/broker/servers.go
@@ -25,6 +25,9 @@
 	statusWorkspace = "siskinrouter"
 	// checkInterval is the time between two checks of the group.
 	checkInterval = 50 * time.Millisecond
+	// ownerConnDivisor sets the fraction, 1/4, of a replica's connections that the owner may open if VMs of the replica's
+	// failure domain read there.
+	ownerConnDivisor = 4
 )
 
 // ApplyView applies the configuration and the servers of the service from a directory view.
@@ -36,8 +39,11 @@
 	}
 	service := v.Configuration.Services[b.Service]
 	for _, id := range v.ServersOf(b.Service) {
-		b.updateServer(v, service, id, v.Servers[id])
+		if !b.ReplicasOnly || v.Servers[id].Domain == b.Domain {
+			b.updateServer(v, service, id, v.Servers[id])
+		}
 	}
+	b.setConnLimits()
 	for id, s := range b.servers {
 		if _, ok := v.Servers[id]; !ok {
 			b.Log.Info("server removed", "service", b.Service, "server", id)
@@ -68,6 +74,10 @@
 		go b.pollStatus(known, d)
 	}
 	usable := v.Usable(id)
+	if b.ReplicasOnly {
+		// The owner alone uses the primary, and limits what a server gets while it is warming up.
+		usable = usable && !d.Primary && !d.WarmingUp
+	}
 	if known.usable != usable {
 		b.Log.Info("server usability changed", "service", b.Service, "server", id, "usable", usable, "draining", d.Draining,
 			"withdrawn", v.Withdrawn[d.Domain], "revision", v.Revisions[directory.Servers])
@@ -76,11 +86,31 @@
 	known.usable = usable
 	known.setWarmup(d.WarmingUp, service.WarmupRate)
 	known.slots = d.Slots
-	known.pool.limit.configured = max(service.MaxConnections-reservedConns, 1)
+	known.maxConns = max(service.MaxConnections-reservedConns, 1)
+	known.shared = d.Domain != b.Domain && len(v.VMsIn(d.Domain)) > 0
 	known.queue.SetSlots(d.Slots)
 	if leaves {
 		b.reroute(known)
 	}
+	if leaves && b.ReplicasOnly {
+		go closeAll(known.pool.drain())
+	}
+}
+
+// setConnLimits divides the connections to the replicas between the owner and the VMs that read there. The mutex must
+// be held.
+func (b *Broker) setConnLimits() {
+	for _, s := range b.servers {
+		atOwner := max(s.maxConns/ownerConnDivisor, 1)
+		switch {
+		case b.ReplicasOnly:
+			s.pool.limit.configured = max(s.maxConns-atOwner, 1)
+		case s.shared && s.ID != b.primary:
+			s.pool.limit.configured = atOwner
+		default:
+			s.pool.limit.configured = s.maxConns
+		}
+	}
 }
 
 // setWarmup limits the statements sent to a server while it is warming up.
@@ -124,7 +154,9 @@
 	defer b.background.Done()
 	var c Conn
 	for {
-		c = b.queryStatus(s, d, c)
+		if b.needsStatus(s) {
+			c = b.queryStatus(s, d, c)
+		}
 		select {
 		case <-s.stop:
 			if c != nil {
@@ -136,11 +168,19 @@
 	}
 }
 
+// needsStatus reports whether a server has to be queried. A broker of replicas learns their state from the statements
+// and from the owner, so it only queries servers that have not responded.
+func (b *Broker) needsStatus(s *server) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return !b.ReplicasOnly || !s.reachable || s.suspect
+}
+
 // statusInterval returns the time until the next status query of a server.
 func (b *Broker) statusInterval(s *server) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if !s.reachable || s.suspect || b.changingPrimary || b.primary == "" {
+	if !s.reachable || s.suspect || !b.ReplicasOnly && (b.changingPrimary || b.primary == "") {
 		return urgentStatusInterval
 	}
 	if s.ID == b.primary {
--- a/internal/broker/types.go
+++ b/internal/broker/types.go
@@ -64,6 +64,10 @@
 	Statement        statement.Statement     `cbor:"12,keyasint,omitzero"`
 	Prepared         statement.PreparedQuery `cbor:"13,keyasint,omitzero"` // of an execution
 	Settings         []statement.Setting     `cbor:"14,keyasint,omitzero"`
+	// AtReplicas sends a read to the broker of the receiving VM that serves the replicas of its failure domain.
+	AtReplicas bool `cbor:"15,keyasint,omitzero"`
+	// Admitted marks a request that another broker has already counted against the workspace's rate limit.
+	Admitted bool `cbor:"16,keyasint,omitzero"`
 }
 
 // Writes reports whether the statement changes data.
@@ -77,6 +81,13 @@
 	return false
 }
 
+// ReplicaCanServe reports whether a replica can serve the first statement of the request's stream, as far as the
+// request tells.
+func (r *Request) ReplicaCanServe() bool {
+	return r.First && r.Consistency != directory.Latest && !r.Writes() &&
+		(r.Begin == 0 || r.Begin == statement.BeginReadOnly)
+}
+
 // Repeatable reports whether the caller can repeat the request if its response is abandoned: reads change nothing,
 // and a transaction without its commit is rolled back.
 func (r *Request) Repeatable() bool {
@@ -92,6 +103,25 @@
 	TransactionOpen bool `cbor:"3,keyasint,omitzero"`
 	// NotOwner means that another VM owns the service; the statement did not run.
 	NotOwner bool `cbor:"4,keyasint,omitzero"`
+	// Admitted is set with NotOwner if the request was counted against the workspace's rate limit.
+	Admitted bool `cbor:"5,keyasint,omitzero"`
+}
+
+// PositionReport tells a VM that serves replicas what the owner knows about the primary's position.
+type PositionReport struct {
+	// Position is the latest position that the primary has reported, Age the time since the owner asked for it.
+	Position session.Position `cbor:"1,keyasint,omitzero"`
+	Age      time.Duration    `cbor:"2,keyasint,omitzero"`
+	// Replicas holds the servers of the asking VM's failure domain, by server.
+	Replicas map[string]ReplicaStatus `cbor:"3,keyasint,omitzero"`
+	// Known is false if the receiver does not own the service or knows no primary.
+	Known bool `cbor:"4,keyasint,omitzero"`
+}
+
+// ReplicaStatus is the part of a replica's status by which reads are placed.
+type ReplicaStatus struct {
+	Applied session.Position `cbor:"1,keyasint,omitzero"`
+	Lag     time.Duration    `cbor:"2,keyasint,omitzero"`
 }
 
 // RateLimiter applies the rate limits of workspaces.
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -32,7 +32,8 @@
 	// ByCores holds the names of the VMs that are not leaving, in descending order of processor cores. VMs that
 	// know the same fleet compute the same order.
 	ByCores      []string
-	EndedRuns    map[RunID]bool // VM runs whose records were removed
+	byDomain     map[string][]string // ByCores by failure domain
+	EndedRuns    map[RunID]bool      // VM runs whose records were removed
 	OwnerRecords map[string]OwnerRecordEntry
 	Revisions    [KindCount]uint64
 	// LastChanges holds the revision of the last known change of each kind. VMs compare it to decide whether
@@ -58,6 +59,14 @@
 // ServersOf returns the ids of the servers of a service. The caller must not modify the slice.
 func (v *View) ServersOf(service string) []string { return v.byService[service] }
 
+// VMsIn returns the names of the VMs of a failure domain in the order of ByCores. The caller must not modify the slice.
+func (v *View) VMsIn(domain string) []string { return v.byDomain[domain] }
+
+// SameDomains reports whether two views have VMs in the same failure domains.
+func (v *View) SameDomains(other *View) bool {
+	return maps.EqualFunc(v.byDomain, other.byDomain, func(_, _ []string) bool { return true })
+}
+
 // FirstServices returns the first n services by name.
 func (v *View) FirstServices(n int) []string { return v.services[:min(len(v.services), n)] }
 
@@ -387,6 +396,7 @@
 		next.VMs, next.OwnerRecords = d.fleet()
 		if !maps.Equal(next.VMs, old.VMs) {
 			next.ByCores = ByCores(next.VMs)
+			next.byDomain = byDomain(next.ByCores, next.VMs)
 		}
 		next.EndedRuns = maps.Clone(d.ended)
 	}
@@ -420,6 +430,16 @@
 	return names
 }
 
+// byDomain groups the names of VMs by failure domain.
+func byDomain(names []string, fleet map[string]VM) map[string][]string {
+	domains := map[string][]string{}
+	for _, name := range names {
+		domain := fleet[name].Domain
+		domains[domain] = append(domains[domain], name)
+	}
+	return domains
+}
+
 // configuration returns the latest version. The previous one stays if an object cannot be decoded.
 func (d *Directory) configuration() *Configuration {
 	latest := d.view.Load().Configuration
--- a/internal/entryvm/daemon.go
+++ b/internal/entryvm/daemon.go
@@ -37,24 +37,26 @@
 
 // Daemon is one run of an entry VM.
 type Daemon struct {
-	settings      atomic.Pointer[Settings]
-	deps          Dependencies
-	log           *log.Logger
-	registry      metrics.Registry
-	self          directory.VM
-	start         time.Time
-	directory     *directory.Directory
-	peers         *peer.Peers
-	ownership     *ownership
-	rateLimiter   *rateLimiter
-	router        *router
-	callers       *entry.Server
-	metrics       *broker.Metrics
-	leaving       atomic.Bool
-	lastRenewalAt atomic.Int64                      // last renewal received from any owner, on the daemon's clock
-	confirmed     [directory.KindCount]atomic.Int64 // when each kind last matched the store, on the daemon's clock
-	pendingMu     sync.Mutex
-	pending       [directory.KindCount]pendingChanges
+	settings  atomic.Pointer[Settings]
+	deps      Dependencies
+	log       *log.Logger
+	registry  metrics.Registry
+	self      directory.VM
+	start     time.Time
+	directory *directory.Directory
+	peers     *peer.Peers
+	ownership *ownership
+	// replicaReaders serves reads at the replicas of this VM's failure domain.
+	replicaReaders *replicaReaders
+	rateLimiter    *rateLimiter
+	router         *router
+	callers        *entry.Server
+	metrics        *broker.Metrics
+	leaving        atomic.Bool
+	lastRenewalAt  atomic.Int64                      // last renewal received from any owner, on the daemon's clock
+	confirmed      [directory.KindCount]atomic.Int64 // when each kind last matched the store, on the daemon's clock
+	pendingMu      sync.Mutex
+	pending        [directory.KindCount]pendingChanges
 }
 
 // New returns a daemon that does not serve yet.
@@ -68,9 +70,11 @@
 	}
 	d.settings.Store(&s)
 	d.ownership = newOwnership(d)
+	d.replicaReaders = newReplicaReaders(d)
 	d.rateLimiter = newRateLimiter(d)
 	d.peers = peer.New(&handler{d}, logger, peer.NewMetrics(registry))
-	d.router = &router{d: d, unreachable: unreachableOwners{}}
+	d.router = &router{d: d, unreachable: unreachableOwners{},
+		readers: readerHealth{skipUntil: map[string]time.Duration{}}}
 	d.callers = entry.NewServer(entry.Config{
 		Router: d.router, NewConn: deps.NewConn, Log: logger, Registry: registry, MaxSessions: s.maxSessions(),
 	})
@@ -94,7 +98,7 @@
 func (d *Daemon) brokerConfig(service string) broker.Config {
 	return broker.Config{
 		Service: service, Dialer: d.deps.Dialer, Lease: d.ownership, RateLimiter: d.rateLimiter,
-		Log: d.log, Metrics: d.metrics, Clock: d.clock,
+		Log: d.log, Metrics: d.metrics, Clock: d.clock, Domain: d.self.Domain,
 	}
 }
 
@@ -113,7 +117,14 @@
 			d.ownership.broadcast.Store(true)
 		}
 	}
-	d.ownership.applyRecords(next, old.ServingVersion != next.ServingVersion)
+	serving := old.ServingVersion != next.ServingVersion || !old.SameDomains(next)
+	d.ownership.applyRecords(next, serving)
+	d.replicaReaders.applyView(next, serving)
+}
+
+// allBrokers returns the brokers of this VM's services, current and ended, and of the replicas that it serves.
+func (d *Daemon) allBrokers() []*broker.Broker {
+	return append(d.ownership.ownedBrokers(), d.replicaReaders.brokers()...)
 }
 
 // Run serves until ctx is done and then drains.
@@ -151,6 +162,7 @@
 	}
 	for _, task := range []func(context.Context) error{
 		d.register, d.ownership.run, d.ownership.extendByReads, d.sweep, d.dialSeeds, d.reloadSettings,
+		d.replicaReaders.run,
 	} {
 		d.addTask(&g, tasks, stop, task)
 	}
@@ -223,7 +235,7 @@
 
 // stillServing reports whether this VM still owns services or has open transactions.
 func (d *Daemon) stillServing() bool {
-	for _, b := range d.ownership.allBrokers() {
+	for _, b := range d.allBrokers() {
 		if b.ActiveStreams() > 0 {
 			return true
 		}
--- a/internal/entryvm/handler.go
+++ b/internal/entryvm/handler.go
@@ -24,7 +24,7 @@
 	case m.Run != nil:
 		h.execute(l, m)
 	case m.EndStream != nil:
-		for _, b := range d.ownership.allBrokers() {
+		for _, b := range d.allBrokers() {
 			b.RollBackStream(broker.StreamKey{Link: l.ID, Stream: m.EndStream.Stream})
 		}
 	case m.Renewal != nil:
@@ -69,6 +69,9 @@
 		h.send(l, peer.Message{Seq: m.Seq, IsResponse: true, TokenRequest: response})
 	case m.Promote != nil:
 		go h.promote(l, m)
+	case m.PositionQuery != nil:
+		report := d.ownership.positionReport(*m.PositionQuery)
+		h.send(l, peer.Message{Seq: m.Seq, IsResponse: true, PositionReport: &report})
 	}
 }
 
@@ -111,14 +114,17 @@
 	key := broker.StreamKey{Link: l.ID, Stream: m.Run.Stream}
 	if m.Run.First {
 		b := h.d.ownership.broker(m.Run.Service)
+		if m.Run.AtReplicas {
+			b = h.d.replicaReaders.broker(m.Run.Service)
+		}
 		if b == nil {
-			reply(broker.Result{Stream: m.Run.Stream, NotOwner: true})
+			reply(broker.Result{Stream: m.Run.Stream, NotOwner: true, Admitted: m.Run.Admitted})
 			return
 		}
 		b.Execute(key, *m.Run, reply)
 		return
 	}
-	for _, b := range h.d.ownership.allBrokers() {
+	for _, b := range h.d.allBrokers() {
 		if b.Service == m.Run.Service && b.HasTransaction(key) {
 			b.Execute(key, *m.Run, reply)
 			return
@@ -141,7 +147,7 @@
 
 // Closed implements peer.Handler.
 func (h *handler) Closed(l *peer.Link) {
-	for _, b := range h.d.ownership.allBrokers() {
+	for _, b := range h.d.allBrokers() {
 		b.RollBackLink(l.ID)
 	}
 }
--- a/internal/entryvm/ownership.go
+++ b/internal/entryvm/ownership.go
@@ -182,9 +182,10 @@
 
 // announceRelease tells all VMs that this VM has released a service.
 func (o *ownership) announceRelease(record directory.OwnerRecord) {
+	v := o.d.directory.View()
 	r := peer.Release{Service: record.Service, Epoch: record.Epoch}
 	o.releasePromise(r)
-	o.send(o.d.directory.View(), peer.Message{Release: &r}, func(string) bool { return true })
+	o.send(v, peer.Message{Release: &r}, func(string) bool { return true })
 }
 
 // broker returns the broker of a service owned by this VM, or nil.
@@ -194,8 +195,8 @@
 	return o.brokers[service]
 }
 
-// allBrokers returns the brokers of current and ended leases.
-func (o *ownership) allBrokers() []*broker.Broker {
+// ownedBrokers returns the brokers of current and ended leases.
+func (o *ownership) ownedBrokers() []*broker.Broker {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	all := slices.Clone(o.draining)
--- a/internal/entryvm/preference_test.go
+++ b/internal/entryvm/preference_test.go
@@ -49,6 +49,18 @@
 	}
 }
 
+// inDomains places the VMs of a fleet in the given failure domains in turn.
+func inDomains(domains ...string) func(map[string]directory.VM, map[string]directory.OwnerRecord) {
+	return func(fleet map[string]directory.VM, _ map[string]directory.OwnerRecord) {
+		for i := range len(fleet) {
+			name := fmt.Sprintf("vm-%d", i)
+			vm := fleet[name]
+			vm.Domain = domains[i%len(domains)]
+			fleet[name] = vm
+		}
+	}
+}
+
 func anyVM(directory.VM) bool { return true }
 
 // Guards against losing several services with one VM, because all were claimed at the same time.
--- a/internal/entryvm/router.go
+++ b/internal/entryvm/router.go
@@ -40,6 +40,7 @@
 	isolation     isolation // used by checkOwners only
 	unreachableMu sync.Mutex
 	unreachable   unreachableOwners
+	readers       readerHealth
 }
 
 // unreachableOwners holds, by service, since when this VM has not reached the owner.
@@ -73,6 +74,12 @@
 func (r *router) Run(req broker.Request) (broker.Result, entry.Executor, error) {
 	began := r.d.clock()
 	timeout := req.Timeout
+	if result, executor, admitted, served := r.runNear(req); served {
+		return result, executor, nil
+	} else if admitted {
+		req.Admitted = true
+	}
+	req.Timeout = timeout - (r.d.clock() - began)
 	r.unreachableMu.Lock()
 	wait := min(r.unreachable.waitTimeout(began, req.Service), timeout)
 	r.unreachableMu.Unlock()
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -32,6 +32,8 @@
 	seq     uint64
 	down    bool
 	sent    *Metrics
+	// receivedAt is when the last message arrived.
+	receivedAt time.Time
 }
 
 // pendingCall is a request that waits for its response.
@@ -39,6 +41,7 @@
 	response chan Message
 	// repeatable reports whether the request may be sent again although it may have run.
 	repeatable bool
+	sentAt     time.Time
 }
 
 func newLink(id uint64, conn net.Conn, sent *Metrics) *Link {
@@ -84,7 +87,7 @@
 	}
 	l.seq++
 	m.Seq = l.seq
-	l.pending[m.Seq] = pendingCall{response, m.Run != nil && m.Run.Repeatable()}
+	l.pending[m.Seq] = pendingCall{response, m.Run != nil && m.Run.Repeatable(), time.Now()}
 	l.mu.Unlock()
 	defer l.removeCall(m.Seq)
 	if err := l.Send(m); err != nil {
@@ -140,6 +143,9 @@
 			l.remote = m.Hello.VM
 			l.mu.Unlock()
 		}
+		l.mu.Lock()
+		l.receivedAt = time.Now()
+		l.mu.Unlock()
 		if !m.IsResponse {
 			handle(l, m)
 			continue
@@ -154,6 +160,21 @@
 	}
 }
 
+// Silent reports whether a request has waited longer than the limit while nothing arrived on the link.
+func (l *Link) Silent(limit time.Duration) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if time.Since(l.receivedAt) <= limit {
+		return false
+	}
+	for _, c := range l.pending {
+		if time.Since(c.sentAt) > limit {
+			return true
+		}
+	}
+	return false
+}
+
 // shutdown closes the connection and fails all pending calls.
 func (l *Link) shutdown() {
 	_ = l.conn.Close()
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -28,6 +28,9 @@
 	PromoteResult  *PromoteResult     `cbor:"14,keyasint,omitzero"`
 	TokenRequest   *TokenRequest      `cbor:"15,keyasint,omitzero"`
 	ChangesRequest *ChangesRequest    `cbor:"16,keyasint,omitzero"`
+	PositionQuery  *PositionQuery     `cbor:"17,keyasint,omitzero"`
+	// PositionReport is the response to a PositionQuery.
+	PositionReport *broker.PositionReport `cbor:"18,keyasint,omitzero"`
 }
 
 // Hello announces a VM; it is the first message in each direction.
@@ -86,6 +89,13 @@
 	Error string `cbor:"1,keyasint,omitzero"`
 }
 
+// PositionQuery asks the owner of a service for the primary's position. The sender serves reads at the replicas of a
+// failure domain.
+type PositionQuery struct {
+	Service string `cbor:"1,keyasint,omitzero"`
+	Domain  string `cbor:"2,keyasint,omitzero"`
+}
+
 // ChangesRequest requests the changes of a kind after a revision. The response is a directory.Listing.
 type ChangesRequest struct {
 	Kind  directory.Kind `cbor:"1,keyasint,omitzero"`
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -14,6 +14,9 @@
 	// lagFactor and lagMargin estimate from the reported lag the time after which a replica has applied a write.
 	lagFactor = 2
 	lagMargin = 20 * time.Millisecond
+	// nearShare is the share of a statement's latency objective, 1/4, within which a server of the VM's own failure
+	// domain is expected to answer to be preferred over a faster one in another domain.
+	nearShare = 4
 )
 
 // Server is the state of a server by which statements are placed.
@@ -22,6 +25,7 @@
 	Slots    int
 	Usable   bool // listed, not draining and not in a withdrawn failure domain
 	Primary  bool
+	Near     bool // in the failure domain of this VM
 	Applied  session.Position
 	Lag      time.Duration // as reported by the server
 	Load     int           // statements that are running or waiting
@@ -39,6 +43,10 @@
 	MaxStaleness time.Duration
 	MinPosition  session.Position // position of the session's last write
 	Writes       bool             // the statement writes, so only the primary can serve it
+	// LatencyObjective is the expected response time of the request; 0 means none.
+	LatencyObjective time.Duration
+	// MaxLatency excludes servers that are expected to take longer; 0 means no limit.
+	MaxLatency time.Duration
 }
 
 // Choice is the server chosen for a statement.
@@ -72,12 +80,14 @@
 	return p, at, true
 }
 
-// Choose returns the server that is expected to answer first. avoid names a server that has just failed for
-// this statement. ok is false if no server can serve the statement now.
+// Choose returns the server that is expected to answer first. Reads that the near servers answer well within the
+// latency objective stay in the failure domain: bytes between domains are billed, and the other servers keep their
+// slots for the primary's work and for bursts. avoid names a server that has just failed for this statement. ok is
+// false if no server can serve the statement now.
 func Choose(now time.Duration, servers []Server, h *History, req Requirements, avoid string) (Choice, bool) {
 	position, at, replicas := minPosition(now, h, req)
-	var best Choice
-	bestLatency := time.Duration(-1)
+	var best, near Choice
+	bestLatency, nearLatency := time.Duration(-1), time.Duration(-1)
 	for _, s := range servers {
 		if !s.Usable || s.Suspect || !s.Primary && (!replicas || !hasApplied(now, s, position, at)) {
 			continue
@@ -86,13 +96,22 @@
 		if s.ID == avoid {
 			latency += time.Second
 		}
+		if req.MaxLatency > 0 && latency > req.MaxLatency {
+			continue
+		}
+		c := Choice{Server: s.ID}
+		if !s.Primary {
+			c.After = position
+		}
 		if bestLatency < 0 || latency < bestLatency {
-			bestLatency = latency
-			best = Choice{Server: s.ID}
-			if !s.Primary {
-				best.After = position
-			}
+			best, bestLatency = c, latency
 		}
+		if s.Near && latency <= req.LatencyObjective/nearShare && (nearLatency < 0 || latency < nearLatency) {
+			near, nearLatency = c, latency
+		}
+	}
+	if nearLatency >= 0 {
+		return near, true
 	}
 	return best, bestLatency >= 0
 }
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -134,6 +135,33 @@
 	is.True(sent["r2"]*4 <= sent["r1"])
 }
 
+// Guards against reads that cross failure domains although a server of the domain answers them in time, and against
+// reads that wait there while another server would serve them. Plays 40 reads that arrive at once.
+func TestReadsStayNear(t *testing.T) {
+	is := is.New(t)
+	servers := group()
+	servers[1].Near = true
+	req := Requirements{Consistency: directory.BoundedStaleness, MaxStaleness: time.Second, LatencyObjective: ms(400)}
+	var order []string
+	for range 40 {
+		c, ok := Choose(ms(5000), servers, history(), req, "")
+		is.True(ok)
+		for i := range servers {
+			if servers[i].ID == c.Server {
+				servers[i].Load++
+			}
+		}
+		order = append(order, c.Server)
+	}
+	// Three slots and 20 ms a read: 15 reads are answered within a quarter of the objective.
+	is.Equal(order[:15], slices.Repeat([]string{"r1"}, 15))
+	is.Equal(order[15:30], slices.Repeat([]string{"p"}, 15))
+	is.Equal(servers[0].Load, servers[1].Load)
+	req.MaxLatency = ms(100)
+	_, ok := Choose(ms(5000), servers, history(), req, "")
+	is.True(!ok)
+}
+
 // Guards against sending work to servers that are draining or withdrawn.
 func TestUnusableServerGetsNothing(t *testing.T) {
 	is := is.New(t)
