Own services in the failure domain of their primary

Cause: after reads moved to the replicas of their domain, what is left crosses to the owner and, in two of three cases, again from the owner to the primary: the plan of claims knew no failure domain.

--- a/internal/entryvm/claim.go
+++ b/internal/entryvm/claim.go
@@ -80,7 +80,7 @@
 	}
 	slices.Sort(vacant)
 	plan := o.newClaimPlan(v)
-	plan.assign(vacant)
+	plan.assign(vacant, func(service string) string { return o.ownerDomain(v, service) })
 	rank := plan.ranking.rank("", o.d.self.Name, plan.eligible)
 	var due []string
 	for _, service := range vacant {
@@ -118,11 +118,12 @@
 type claimPlan struct {
 	ranking   *loadRanking
 	eligible  []bool
+	domains   []string          // failure domains of the VMs
 	assigned  map[string]string // VM by service, assuming that all VMs claim their assigned services at once
 	outOfTurn int               // services that were due although other VMs rank higher
 }
 
-// candidateHeap is a heap of VM indices; the first one should own the next service.
+// candidateHeap is a heap of the indices of a failure domain's VMs; the first one should own the next service.
 type candidateHeap struct {
 	*loadRanking
 	vms []int
@@ -134,22 +135,35 @@
 func (h *candidateHeap) Push(any)           {} // the set of VMs is fixed
 func (h *candidateHeap) Pop() any           { return nil }
 
-// assign assigns a VM to each vacant service. VMs with the same view of the fleet compute the same assignment, so
-// many services can be claimed at once without two VMs claiming the same one. A fleet of a few hundred VMs starts
-// with a thousand vacant services, and each VM computes the plan ten times a second.
-func (p *claimPlan) assign(vacant []string) {
+// assign assigns a VM to each vacant service: one of the service's preferred failure domain, or any if that is empty or
+// has no eligible VM. VMs with the same view of the fleet compute the same assignment, so many services can be claimed
+// at once without two VMs claiming the same one. A fleet of a few hundred VMs starts with a thousand vacant services,
+// and each VM computes the plan ten times a second.
+func (p *claimPlan) assign(vacant []string, preferredDomain func(service string) string) {
 	p.assigned = make(map[string]string, len(vacant))
-	h := &candidateHeap{loadRanking: p.ranking}
+	heaps := map[string]*candidateHeap{}
 	for i, eligible := range p.eligible {
-		if eligible {
-			h.vms = append(h.vms, i)
+		if !eligible {
+			continue
+		}
+		h := heaps[p.domains[i]]
+		if h == nil {
+			h = &candidateHeap{loadRanking: p.ranking}
+			heaps[p.domains[i]] = h
 		}
+		h.vms = append(h.vms, i)
 	}
-	if len(h.vms) == 0 {
-		return
+	for _, h := range heaps {
+		heap.Init(h)
 	}
-	heap.Init(h)
 	for _, service := range vacant {
+		h := heaps[preferredDomain(service)]
+		if h == nil {
+			h = firstOf(heaps)
+		}
+		if h == nil {
+			return
+		}
 		i := h.vms[0]
 		p.assigned[service] = h.names[i]
 		h.load[i] += 1 / h.cores[i]
@@ -157,6 +171,17 @@
 	}
 }
 
+// firstOf returns the heap whose first VM should own the next service, or nil if there is none.
+func firstOf(heaps map[string]*candidateHeap) *candidateHeap {
+	var first *candidateHeap
+	for _, h := range heaps {
+		if first == nil || h.before("", h.vms[0], first.vms[0]) {
+			first = h
+		}
+	}
+	return first
+}
+
 // due reports whether a VM should claim a service that has been vacant for the given time. In one check a VM claims
 // all services assigned to it, and a few that their assigned VMs have not claimed in time. rank is the VM's rank
 // after the assignment.
@@ -176,6 +201,7 @@
 	plan := &claimPlan{ranking: newLoadRanking(v)}
 	for _, name := range plan.ranking.names {
 		plan.eligible = append(plan.eligible, !o.ended(v.VMs[name].RunID()))
+		plan.domains = append(plan.domains, v.VMs[name].Domain)
 	}
 	return plan
 }
@@ -258,24 +284,47 @@
 			continue
 		}
 		o.mu.Lock()
-		held, now := o.leases[service], o.d.bootClock()
-		voters := o.voters()
-		candidates := preferredVMs(v, service, func(vm directory.VM) bool {
-			// Non-voters receive only one renewal in several rounds.
-			responsive := held == nil || !slices.Contains(voters, vm.Name) || held.SilentFor(now, vm.Name) < lease.SuspectTimeout
-			return vm.Name != o.d.self.Name && !o.ended(vm.RunID()) && responsive
-		})
+		candidates := o.successors(v, service)
 		o.mu.Unlock()
 		if len(candidates) == 0 {
 			continue
 		}
-		o.mu.Lock()
-		next := nextRecord(record.OwnerRecord, service, v.VMs[candidates[0]].RunID(), o.ended)
-		next.HandedOver = true
-		o.mu.Unlock()
-		o.d.log.Info("handing over service", "service", service, "epoch", next.Epoch, "to", next.Holder.Name)
-		if err := o.writeRecord(ctx, next, record.Revision); err != nil {
-			o.d.log.Warn("service not handed over", "service", service, "error", err)
-		}
+		// VMs of the primary's failure domain come first.
+		domain := primaryDomain(v, service)
+		slices.SortStableFunc(candidates, func(a, b string) int {
+			return boolRank(v.VMs[a].Domain != domain) - boolRank(v.VMs[b].Domain != domain)
+		})
+		o.handOverTo(ctx, record, v.VMs[candidates[0]])
+	}
+}
+
+func boolRank(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// successors returns the VMs to which a service of this VM may be handed over, in order of preference. The mutex must be
+// held.
+func (o *ownership) successors(v *directory.View, service string) []string {
+	held, now := o.leases[service], o.d.bootClock()
+	voters := o.voters()
+	return preferredVMs(v, service, func(vm directory.VM) bool {
+		// Non-voters receive only one renewal in several rounds.
+		responsive := held == nil || !slices.Contains(voters, vm.Name) || held.SilentFor(now, vm.Name) < lease.SuspectTimeout
+		return vm.Name != o.d.self.Name && !o.ended(vm.RunID()) && responsive
+	})
+}
+
+// handOverTo transfers a service of this VM to another VM.
+func (o *ownership) handOverTo(ctx context.Context, record directory.OwnerRecordEntry, vm directory.VM) {
+	o.mu.Lock()
+	next := nextRecord(record.OwnerRecord, record.Service, vm.RunID(), o.ended)
+	o.mu.Unlock()
+	next.HandedOver = true
+	o.d.log.Info("handing over service", "service", record.Service, "epoch", next.Epoch, "to", next.Holder.Name)
+	if err := o.writeRecord(ctx, next, record.Revision); err != nil {
+		o.d.log.Warn("service not handed over", "service", record.Service, "error", err)
 	}
 }
--- a/internal/entryvm/ownership.go
+++ b/internal/entryvm/ownership.go
@@ -41,6 +41,7 @@
 	refusedRuns map[string]directory.RunID // runs at whose address no process listens, by VM name
 	firstSeen   map[string]firstSeenRecord // by service
 	runRenewals map[string]runRenewal      // by VM
+	absences    absences                   // used by run only
 }
 
 func newOwnership(d *Daemon) *ownership {
@@ -49,6 +50,7 @@
 		brokers: map[string]*broker.Broker{}, claiming: map[string]bool{},
 		vacantSince: map[string]time.Duration{}, refusedRuns: map[string]directory.RunID{},
 		firstSeen: map[string]firstSeenRecord{}, runRenewals: map[string]runRenewal{},
+		absences: absences{},
 	}
 }
 
@@ -76,6 +78,7 @@
 				o.renew(toAll)
 			}
 			o.claimVacant(ctx)
+			o.followPrimaries(ctx)
 		case <-removal.C:
 			go o.removeGoneVMs(ctx)
 		}
--- a/internal/entryvm/preference_test.go
+++ b/internal/entryvm/preference_test.go
@@ -63,6 +63,8 @@
 
 func anyVM(directory.VM) bool { return true }
 
+func anyDomain(string) string { return "" }
+
 // Guards against losing several services with one VM, because all were claimed at the same time.
 func TestServicesStartOnDifferentVMs(t *testing.T) {
 	is := is.New(t)
@@ -152,7 +154,7 @@
 			if now < since {
 				continue
 			}
-			plan := &claimPlan{ranking: newLoadRanking(v), eligible: eligible}
+			plan := &claimPlan{ranking: newLoadRanking(v), eligible: eligible, domains: make([]string, len(eligible))}
 			var vacant []string
 			for service := range v.Configuration.Services {
 				if owner[service] == "" {
@@ -160,7 +162,7 @@
 				}
 			}
 			slices.Sort(vacant)
-			plan.assign(vacant)
+			plan.assign(vacant, anyDomain)
 			rank := plan.ranking.rank("", vm, eligible)
 			for _, service := range vacant {
 				if plan.due(service, vm, rank, now-since) {
@@ -194,10 +196,10 @@
 	const services, plans = 1000, 20
 	planTime := func(vms int) time.Duration {
 		v := fleetView(vms, services)
-		plan := &claimPlan{ranking: newLoadRanking(v), eligible: slices.Repeat([]bool{true}, vms)}
+		plan := &claimPlan{ranking: newLoadRanking(v), eligible: slices.Repeat([]bool{true}, vms), domains: make([]string, vms)}
 		began := time.Now()
 		for range plans {
-			plan.assign(v.AllServices())
+			plan.assign(v.AllServices(), anyDomain)
 		}
 		is.Equal(len(plan.assigned), services)
 		return time.Since(began) / plans
