Announce the successor with a planned hand-over

Cause: TestReadsRunInTheDomain on the stand-in: after a planned hand-over the successor started 300 ms and more later, when its watch of the store reported the record (changes of the fleet are gathered for 250 ms); a read that waited 300 ms for an owner was refused. Log: "handing over" 47.294, "ownership ended" 47.295, no "ownership started" by 47.600.

Change: the release that the former owner sends to all VMs carries the successor's record; the successor starts and the others route to it at once (1 ms in the same test).

Kept for what the test shows: a hand-over refused a caller although nothing had failed.

--- a/internal/entryvm/handler.go
+++ b/internal/entryvm/handler.go
@@ -49,6 +49,9 @@
 			FailureVote: &peer.FailureVote{Suspected: d.ownership.suspected(m.FailureQuery.OwnerRecord)}})
 	case m.Release != nil:
 		d.ownership.releasePromise(*m.Release)
+		if m.Release.Successor != nil {
+			d.directory.MergeOwnerRecords(d.clock(), []directory.OwnerRecordEntry{*m.Release.Successor})
+		}
 	case m.Changes != nil:
 		h.mergeChanges(l, *m.Changes)
 	case m.Hello != nil:
--- a/internal/entryvm/ownership.go
+++ b/internal/entryvm/ownership.go
@@ -187,6 +187,9 @@
 func (o *ownership) announceRelease(record directory.OwnerRecord) {
 	v := o.d.directory.View()
 	r := peer.Release{Service: record.Service, Epoch: record.Epoch}
+	if next := v.OwnerRecords[record.Service]; next.Epoch > record.Epoch {
+		r.Successor = &next
+	}
 	o.releasePromise(r)
 	o.send(v, peer.Message{Release: &r}, func(string) bool { return true })
 }
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -76,6 +76,8 @@
 type Release struct {
 	Service string `cbor:"1,keyasint,omitzero"`
 	Epoch   uint64 `cbor:"2,keyasint,omitzero"`
+	// Successor is the record of the next owner, so that it starts before the store reports the change.
+	Successor *directory.OwnerRecordEntry `cbor:"3,keyasint,omitzero"`
 }
 
 // Promote asks the promotion coordinator to make a server the primary of its service.
