Replace a primary that was lost together with its owner 0.5 s sooner

Change: after a predecessor that failed, a successor replaces a silent primary after 0.5 s if all other servers respond as replicas and two attempts to connect to it have failed. A former owner finishes transactions only if it handed the service over itself; one that was taken over has no lease and stops at once, so that its successor need not wait.

Ruled out: promoting at the first failed attempt (one lost packet would replace a primary).

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -30,6 +30,9 @@
 	Metrics     *Metrics
 	Clock       func() time.Duration // monotonic, since the start of the process
 	Domain      string               // failure domain of this VM
+	// TakenOver is set if the previous owner has failed. Otherwise it handed the service over, and may finish
+	// transactions.
+	TakenOver bool
 	// ReplicasOnly makes a broker that serves reads at the replicas of Domain on behalf of the owner. What it cannot
 	// serve at once it leaves to the owner.
 	ReplicasOnly bool
@@ -58,7 +61,7 @@
 	weights           map[string]int
 	txIdle            time.Duration // how long a caller may leave a transaction idle; 0 means no limit
 	closed            bool
-	closedAt          time.Duration
+	graceEnd          time.Duration // until when a closed broker may finish transactions
 	done              chan struct{}
 	background        sync.WaitGroup
 }
@@ -123,16 +126,21 @@
 	return b
 }
 
-// Close stops the broker when its ownership ends: waiting statements are refused, open transactions end with their
-// next statement, and idle connections are closed.
-func (b *Broker) Close() {
+// Close stops the broker when its service was taken over: waiting statements are refused, open transactions end with
+// their next statement, and idle connections are closed.
+func (b *Broker) Close() { b.close(0) }
+
+// HandOver stops the broker like Close, but lets transactions continue for handOverGrace.
+func (b *Broker) HandOver() { b.close(handOverGrace) }
+
+func (b *Broker) close(grace time.Duration) {
 	b.mu.Lock()
 	if b.closed {
 		b.mu.Unlock()
 		return
 	}
 	b.closed = true
-	b.closedAt = b.Clock()
+	b.graceEnd = b.Clock() + grace
 	close(b.done)
 	var refused []*execution
 	for id, e := range b.executions {
@@ -401,6 +409,13 @@
 		e.holdsSlot = true
 		s.running++
 		c, evicted, ok := s.pool.acquire(now, e)
+		if !ok && b.ReplicasOnly {
+			e.holdsSlot = false
+			s.running--
+			s.queue.Abandon(id)
+			replies = append(replies, b.refuse(e, "no connection is free")...)
+			continue
+		}
 		if !ok {
 			s.pool.waiting = append(s.pool.waiting, e)
 			continue
--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -621,3 +621,31 @@
 		})
 	}
 }
+
+// Guards against a former owner that still runs statements at a primary that its successor may replace at once, and
+// against transactions that a planned hand-over breaks off.
+func TestFormerOwnerStops(t *testing.T) {
+	for name, test := range map[string]struct {
+		end  func(*Broker)
+		code statement.Code
+	}{
+		"taken over":  {(*Broker).Close, statement.Aborted},
+		"handed over": {(*Broker).HandOver, statement.OK},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFakeServers()
+			b, owner := newBroker(t, f, 16)
+			req := request(statement.Write, "WRITE a 1")
+			req.Begin = statement.Begin
+			is.True(do(b, req).TransactionOpen)
+			owner.mu.Lock()
+			owner.invalid = true
+			owner.mu.Unlock()
+			test.end(b)
+			commit := Request{Stream: req.Stream, Service: testService, Workspace: "ws", Timeout: time.Second,
+				Statement: statement.Statement{ID: "c", Kind: statement.Commit}}
+			is.Equal(do(b, commit).Response.Code, test.code)
+		})
+	}
+}
--- a/internal/broker/pool.go
+++ b/internal/broker/pool.go
@@ -61,6 +61,11 @@
 	return nil, nil, false
 }
 
+// available reports whether a workspace can get a connection now.
+func (p *pool) available(now time.Duration, workspace string) bool {
+	return len(p.idle[workspace]) > 0 || p.open < p.limit.current(now) || p.idleCount() > 0
+}
+
 // evictOldest removes the least recently used idle connection, preferably of a workspace that has several, so that
 // each workspace keeps one as long as possible.
 func (p *pool) evictOldest() *conn {
--- a/internal/broker/primarychange.go
+++ b/internal/broker/primarychange.go
@@ -124,7 +124,7 @@
 	b.rerouteFromPrimary()
 	if action.Planned {
 		b.quiesce(action.Promote)
-	} else {
+	} else if !b.TakenOver {
 		// A previous owner that handed the service over may still be finishing transactions at a primary that this VM
 		// cannot reach.
 		b.sleepUntil(b.ownerSince + handOverGrace + handOverMargin)
--- a/internal/broker/replicas.go
+++ b/internal/broker/replicas.go
@@ -11,8 +11,8 @@
 	if !e.req.ReplicaCanServe() {
 		return false
 	}
-	_, ok := b.choose(now, e, e.req.LatencyObjective/busyShare)
-	return ok
+	choice, ok := b.choose(now, e, e.req.LatencyObjective/busyShare)
+	return ok && b.servers[choice.Server].pool.available(now, e.req.Workspace)
 }
 
 // PositionReport returns what a VM that serves the replicas of a failure domain has to know. It is known only while
--- a/internal/broker/replicas_test.go
+++ b/internal/broker/replicas_test.go
@@ -294,3 +294,41 @@
 	b.ObservePositionReport(b.Clock(), PositionReport{Position: p, Known: true, Replicas: map[string]ReplicaStatus{"r1": {Applied: p}}})
 	served(t, b, read())
 }
+
+// Guards against reads that wait for a connection at a replica that still counts those of a failed VM, while the owner
+// could serve them at another server.
+func TestReplicaWithoutConnectionsLeavesReads(t *testing.T) {
+	is := is.New(t)
+	f := newFakeServers()
+	f.serviceTime = 50 * time.Millisecond
+	f.full = true
+	b, limiter := newReplicaBroker(t, f)
+	reported(b, 0, f.position())
+	is.True(do(b, read()).NotOwner) // refused by the server, which bounds the connections
+	admitted := limiter.admitted()
+	for range 20 {
+		began := time.Now()
+		is.True(do(b, read()).NotOwner)
+		is.True(time.Since(began) < 40*time.Millisecond)
+	}
+	is.Equal(limiter.admitted(), admitted)
+	// One connection is accepted; the reads that find it busy do not wait for it.
+	f.mu.Lock()
+	f.full = false
+	f.mu.Unlock()
+	time.Sleep(minConnBackoff)
+	results := make(chan Result, 3)
+	began := time.Now()
+	for range 3 {
+		req := read()
+		b.Execute(StreamKey{Stream: req.Stream}, req, func(r Result) { results <- r })
+	}
+	left := 0
+	for range 3 {
+		if r := <-results; r.NotOwner {
+			left++
+			is.True(time.Since(began) < 40*time.Millisecond)
+		}
+	}
+	is.Equal(left, 2)
+}
--- a/internal/broker/run.go
+++ b/internal/broker/run.go
@@ -128,15 +128,15 @@
 	b.finish(e, c, b.exchange(e, c))
 }
 
-// mayRun reports whether this VM may use the service's servers: it holds the lease, or its ownership ended less than
-// handOverGrace ago. A successor that cannot reach the primary waits longer than that before it replaces it.
+// mayRun reports whether this VM may use the service's servers: it holds the lease, or it handed the service over less
+// than handOverGrace ago. A successor that cannot reach the primary waits longer than that before it replaces it.
 func (b *Broker) mayRun() bool {
 	if b.Lease.Valid(b.Service) {
 		return true
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.closed && b.Clock()-b.closedAt < handOverGrace
+	return b.closed && b.Clock() < b.graceEnd
 }
 
 // exchange sets up the caller's session state on the connection and runs the statement.
--- a/internal/broker/servers.go
+++ b/internal/broker/servers.go
@@ -21,6 +21,9 @@
 	urgentStatusInterval = 100 * time.Millisecond
 	// statusTimeout bounds a status query, which waits behind the statements in the server's own queue.
 	statusTimeout = 500 * time.Millisecond
+	// discoveryDialTimeout bounds the opening of a connection while the primary is not known, so that two attempts fit
+	// into the time after which an unreachable primary is replaced.
+	discoveryDialTimeout = 200 * time.Millisecond
 	// statusWorkspace is the workspace name of connections for status queries.
 	statusWorkspace = "siskinrouter"
 	// checkInterval is the time between two checks of the group.
@@ -233,7 +236,11 @@
 // control runs a command over c, or over a new connection, and returns the connection if it is still usable.
 func (b *Broker) control(d directory.Server, c Conn, command statement.Command) (statement.Response, Conn, error) {
 	if c == nil {
-		ctx, cancel := context.WithTimeout(context.Background(), statusTimeout)
+		timeout := statusTimeout
+		if b.primaryID() == "" {
+			timeout = discoveryDialTimeout
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), timeout)
 		defer cancel()
 		var err error
 		if c, err = b.Dialer.Dial(ctx, d, statusWorkspace); err != nil {
@@ -251,7 +258,7 @@
 // group describes the group for the choice of its primary. The mutex must be held.
 func (b *Broker) group(now time.Duration) placement.Group {
 	g := placement.Group{Primary: b.primary, Recorded: b.recordedPrimary, Since: b.ownerSince,
-		ChangedAt: b.primaryChangedAt}
+		ChangedAt: b.primaryChangedAt, TakenOver: b.TakenOver}
 	for _, s := range b.servers {
 		g.Servers = append(g.Servers, placement.Candidate{
 			ID: s.ID, Usable: s.usable, Heard: s.statusKnown, Reachable: s.reachable, SilentFor: now - s.respondedAt,
--- a/internal/entryvm/ownership.go
+++ b/internal/entryvm/ownership.go
@@ -85,6 +85,36 @@
 	}
 }
 
+// renewUnconfirmed requests an immediate renewal if the majority has not acknowledged an ownership yet.
+func (o *ownership) renewUnconfirmed() {
+	now := o.d.bootClock()
+	voters := o.voters()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, held := range o.leases {
+		if !held.Valid(now, voters, o.ended) {
+			o.broadcast.Store(true)
+			return
+		}
+	}
+}
+
+// announce dials the VMs that vote on leases and the owners, so that they know that this VM is reachable.
+func (o *ownership) announce(v *directory.View) {
+	addresses := map[string]bool{}
+	for _, name := range voters(v) {
+		addresses[v.VMs[name].Address] = true
+	}
+	for _, record := range v.OwnerRecords {
+		addresses[v.VMs[record.Holder.Name].Address] = true
+	}
+	for address := range addresses {
+		if address != "" && address != o.d.self.Address {
+			o.d.peers.LinkOrDial(address)
+		}
+	}
+}
+
 // ended reports whether a run of a VM has ended. The mutex must be held.
 func (o *ownership) ended(run directory.RunID) bool {
 	return o.d.directory.View().Ended(run) || o.refusedRuns[run.Name] == run
@@ -120,13 +150,17 @@
 // configuration, the servers or the withdrawals have changed; brokers depend on nothing else.
 func (o *ownership) applyRecords(v *directory.View, serving bool) {
 	o.mu.Lock()
-	var closed []*broker.Broker
+	var closed, handedOver []*broker.Broker
 	var released []directory.OwnerRecord
 	var update []*broker.Broker
 	for service, held := range o.leases {
 		record, ok := v.OwnerRecords[service]
 		if ok && record.Epoch > held.Record.Epoch {
-			closed = append(closed, o.brokers[service])
+			if record.HandedOver && record.Epoch == held.Record.Epoch+1 {
+				handedOver = append(handedOver, o.brokers[service])
+			} else {
+				closed = append(closed, o.brokers[service])
+			}
 			released = append(released, held.Record)
 			delete(o.leases, service)
 			delete(o.brokers, service)
@@ -134,7 +168,7 @@
 				"revision", record.Revision)
 		}
 	}
-	o.draining = append(o.draining, closed...)
+	o.draining = append(append(o.draining, closed...), handedOver...)
 	draining := slices.Clone(o.draining)
 	for service, record := range v.OwnerRecords {
 		o.firstSeenAt(o.d.bootClock(), record.OwnerRecord)
@@ -150,15 +184,18 @@
 			"primary", record.Primary)
 		o.broadcast.Store(true) // callers on all VMs wait for the new owner
 		o.leases[service] = lease.New(o.d.bootClock(), record.OwnerRecord)
-		o.brokers[service] = broker.New(o.d.brokerConfig(service), record.Primary)
+		config := o.d.brokerConfig(service)
+		config.TakenOver = len(record.Predecessors) > 0 && !record.HandedOver
+		o.brokers[service] = broker.New(config, record.Primary)
 		update = append(update, o.brokers[service])
 	}
 	if serving {
 		update = slices.Collect(maps.Values(o.brokers))
 	}
 	o.mu.Unlock()
-	for _, b := range closed {
-		b.Close()
+	closeBrokers(closed)
+	for _, b := range handedOver {
+		b.HandOver()
 	}
 	o.removeDrained(draining)
 	for _, record := range released {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -220,3 +220,32 @@
 	g.Servers[1].Term = 4 // knows a later term
 	is.Equal(NextAction(time.Minute+ms(100), g), Action{})
 }
+
+// Guards against an outage that lasts a second longer than needed when a failure domain is lost with the owner and the
+// primary, and against a successor that replaces a primary although it is itself cut off, or too early.
+func TestTakeoverReplacesLostPrimarySooner(t *testing.T) {
+	is := is.New(t)
+	lost := func() Group {
+		g := Group{Recorded: "p", Since: time.Minute, TakenOver: true, Servers: candidates()}
+		g.Servers[0].Reachable, g.Servers[0].Heard, g.Servers[0].Primary = false, false, false
+		return g
+	}
+	soon, later := time.Minute+takeoverTime, time.Minute+discoveryTime
+	is.Equal(NextAction(soon-ms(1), lost()), Action{})
+	is.Equal(NextAction(soon, lost()).Promote, "r2")
+	is.True(!NextAction(soon, lost()).Planned)
+	for name, change := range map[string]func(*Group){
+		"handed over":          func(g *Group) { g.TakenOver = false },
+		"a replica is silent":  func(g *Group) { g.Servers[1].Reachable = false },
+		"the primary responds": func(g *Group) { g.Servers[0].Reachable = true },
+		"another server leads": func(g *Group) { g.Recorded = "r1" },
+	} {
+		g := lost()
+		change(&g)
+		t.Log(name)
+		is.Equal(NextAction(soon, g), Action{})
+	}
+	g := lost()
+	g.TakenOver = false
+	is.Equal(NextAction(later, g).Promote, "r2")
+}
--- a/internal/placement/succession.go
+++ b/internal/placement/succession.go
@@ -16,8 +16,11 @@
 	// failoverCooldown is the time after a change of the primary in which it is not changed again. It prevents
 	// the role from moving back and forth between servers.
 	failoverCooldown = 2 * time.Second
-	// discoveryTime is how long a new owner waits for the servers to report their roles.
+	// discoveryTime is how long a new owner waits for the servers to report their roles, and takeoverTime how long it waits
+	// after its predecessor has failed, if all servers but the primary respond: the primary has been silent together
+	// with the predecessor, and two attempts to connect have failed.
 	discoveryTime = time.Second
+	takeoverTime  = 500 * time.Millisecond
 )
 
 // Candidate is the state of a server by which a primary is chosen.
@@ -38,6 +41,7 @@
 	Recorded  string        // primary according to the owner record; empty before the first change
 	Since     time.Duration // start of this ownership
 	ChangedAt time.Duration // last change of the primary by this owner; 0 if none
+	TakenOver bool          // the previous owner has failed
 	Servers   []Candidate
 }
 
@@ -100,7 +104,7 @@
 	if primary.ID != "" && (g.Recorded == "" || primary.Term > byID[g.Recorded].Term && now-g.Since > discoveryTime) {
 		return Action{Follow: primary.ID, Reason: "reports to lead the latest term"}
 	}
-	if now-g.Since < discoveryTime {
+	if wait := now - g.Since; wait < discoveryTime && (wait < takeoverTime || !onlyPrimarySilent(g)) {
 		return Action{}
 	}
 	target, ok := successor(g)
@@ -110,6 +114,20 @@
 	return Action{Promote: target.ID, Reason: "no primary answers"}
 }
 
+// onlyPrimarySilent reports whether the previous owner has failed and all servers but one respond as replicas. The one
+// that does not respond is then the primary, and this VM is not cut off from the group.
+func onlyPrimarySilent(g Group) bool {
+	silent := 0
+	for _, s := range g.Servers {
+		if !s.Reachable {
+			silent++
+		} else if s.Primary || s.ID == g.Recorded {
+			return false
+		}
+	}
+	return g.TakenOver && silent == 1 && len(g.Servers) > 2
+}
+
 // reportedPrimary returns the server that reports to be the primary of the latest term. The ID is empty if
 // there is none, or if a server that has answered knows a later term.
 func reportedPrimary(g Group) Candidate {
