Let callers leave a cut failure domain whose owners have lost their leases

A VM counted the owners in its own domain as reachable, since their renewals still arrived, and itself, since it acknowledged its own renewals; so it stayed ready and kept its sessions. Owners beside their primaries made it worse: all owners of the cut domain hear from each other.

Change: renewals say that the sender has lost all its leases; such an owner is not reachable. A VM counts a service of its own as reachable only with a valid lease. When a lease is valid again, the renewal goes out at once.

TestOwnerWithoutLeaseIsNotReachable and TestIsolatedOwnersSaySo fail without the change.

--- a/internal/entryvm/daemon.go
+++ b/internal/entryvm/daemon.go
@@ -120,6 +120,9 @@
 	serving := old.ServingVersion != next.ServingVersion || !old.SameDomains(next)
 	d.ownership.applyRecords(next, serving)
 	d.replicaReaders.applyView(next, serving)
+	if len(old.OwnerRecords) == 0 && len(next.OwnerRecords) > 0 {
+		d.ownership.announce(next)
+	}
 }
 
 // allBrokers returns the brokers of this VM's services, current and ended, and of the replicas that it serves.
--- a/internal/entryvm/handler.go
+++ b/internal/entryvm/handler.go
@@ -30,6 +30,7 @@
 	case m.Renewal != nil:
 		d.lastRenewalAt.Store(int64(d.clock()))
 		d.adoptConfirmations(m.Renewal.LastChanges, m.Renewal.ConfirmedAge)
+		d.ownership.recordIsolation(l.Remote().RunID(), m.Renewal.Isolated)
 		if len(m.Renewal.OwnerRecords) == 0 {
 			d.ownership.recordRunRenewal(l.Remote().RunID())
 		}
@@ -57,6 +58,8 @@
 	case m.Hello != nil:
 		d.directory.MergeVM(d.clock(), m.Hello.VM)
 		d.ownership.clearRefused(m.Hello.VM)
+		d.peers.Announced(m.Hello.VM.Address)
+		d.ownership.renewUnconfirmed()
 		d.requestChanges(l, m.Hello.LastChanges)
 	case m.ChangesRequest != nil:
 		if m.ChangesRequest.Kind < directory.KindCount {
--- /dev/null
+++ b/internal/entryvm/isolation_test.go
@@ -0,0 +1,89 @@
+package entryvm
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
+
+	"siskinrouter/internal/directory"
+	"siskinrouter/internal/lease"
+)
+
+// isolatedOwner returns a VM that owns services and voted for itself, in a fleet of three whose other VMs are silent.
+func isolatedOwner(t *testing.T, services ...string) *Daemon {
+	t.Helper()
+	d := New(Settings{Name: "a"}, Dependencies{}, log.New(io.Discard), metrics.NewRegistry())
+	fleet := directory.Listing{Kind: directory.Fleet, Revision: 1}
+	for _, vm := range []directory.VM{d.self, {Name: "b", Incarnation: 1}, {Name: "c", Incarnation: 2}} {
+		fleet.Entries = append(fleet.Entries, directory.Entry{Name: "vm." + vm.Name, Revision: 1, VM: &vm})
+	}
+	c := &directory.Configuration{Version: 1, Services: map[string]directory.Service{}}
+	for _, service := range services {
+		c.Services[service] = directory.Service{Name: service}
+		record := directory.OwnerRecord{Service: service, Epoch: 1, Holder: d.self.RunID()}
+		fleet.Entries = append(fleet.Entries, directory.Entry{Name: "service." + service, Revision: 1, OwnerRecord: &record})
+	}
+	d.directory.Replace(0, directory.Listing{Kind: directory.Configurations, Revision: 1, Entries: []directory.Entry{{
+		Name: "main", Revision: 1, Configuration: c,
+	}}})
+	d.directory.Replace(0, fleet)
+	for _, b := range d.ownership.ownedBrokers() {
+		t.Cleanup(b.Close)
+	}
+	// The voter of this VM acknowledges its own renewals.
+	d.ownership.renew(toVoters)
+	return d
+}
+
+// Guards against a VM that keeps its callers although it has lost the leases of all services: it acknowledged its own
+// renewals and so counted itself as a reachable owner, for as long as its failure domain was cut off.
+func TestOwnerWithoutLeaseIsNotReachable(t *testing.T) {
+	is := is.New(t)
+	d := isolatedOwner(t, "ledger", "stock")
+	reached, all := d.router.reachability().count()
+	is.Equal(reached, 0)
+	is.Equal(all, 2)
+	is.True(!d.router.ready())
+	now := d.bootClock()
+	d.ownership.recordAck("b", now, []string{"ledger", "stock"})
+	reached, _ = d.router.reachability().count()
+	is.Equal(reached, 2)
+	is.True(d.router.ready())
+}
+
+// Guards against VMs of an isolated failure domain that count its owners as reachable, because they still receive their
+// renewals, and against an owner that counts as isolated before a majority has confirmed its first lease.
+func TestIsolatedOwnersSaySo(t *testing.T) {
+	is := is.New(t)
+	d := isolatedOwner(t, "ledger")
+	o := d.ownership
+	lost := func() bool {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		return o.lostAll(d.bootClock(), o.voters())
+	}
+	is.True(!lost())
+	o.recordAck("a", d.bootClock()-lease.TTL, []string{"ledger"})
+	o.leases["ledger"].RecordGrant("b", d.bootClock()-lease.TTL)
+	is.True(!o.Valid("ledger"))
+	is.True(lost())
+	o.reportsIsolation = true
+	o.broadcast.Store(false)
+	o.recordAck("b", d.bootClock(), []string{"ledger"})
+	is.True(!lost())
+	is.True(o.broadcast.Load()) // the others hear of it at once
+
+	record := directory.OwnerRecord{Service: "stock", Epoch: 3, Holder: directory.RunID{Name: "c", Incarnation: 2}}
+	o.recordRunRenewal(record.Holder)
+	is.True(o.heardWithin(record, time.Minute))
+	o.recordIsolation(record.Holder, true)
+	is.True(!o.heardWithin(record, time.Minute))
+	o.recordIsolation(record.Holder, false)
+	is.True(o.heardWithin(record, time.Minute))
+	o.recordIsolation(directory.RunID{Name: "c", Incarnation: 1}, true) // an earlier run
+	is.True(o.heardWithin(record, time.Minute))
+}
--- a/internal/entryvm/ownership.go
+++ b/internal/entryvm/ownership.go
@@ -41,7 +41,10 @@
 	refusedRuns map[string]directory.RunID // runs at whose address no process listens, by VM name
 	firstSeen   map[string]firstSeenRecord // by service
 	runRenewals map[string]runRenewal      // by VM
-	absences    absences                   // used by run only
+	isolated    map[string]directory.RunID // VMs that have reported to be isolated, by name
+	// reportsIsolation is set while the renewals of this VM say that it is isolated.
+	reportsIsolation bool
+	absences         absences // used by run only
 }
 
 func newOwnership(d *Daemon) *ownership {
@@ -50,7 +53,7 @@
 		brokers: map[string]*broker.Broker{}, claiming: map[string]bool{},
 		vacantSince: map[string]time.Duration{}, refusedRuns: map[string]directory.RunID{},
 		firstSeen: map[string]firstSeenRecord{}, runRenewals: map[string]runRenewal{},
-		absences: absences{},
+		isolated: map[string]directory.RunID{}, absences: absences{},
 	}
 }
 
--- a/internal/entryvm/renewal.go
+++ b/internal/entryvm/renewal.go
@@ -118,12 +118,15 @@
 		}
 		records = append(records, record)
 	}
+	voters := o.voters()
+	isolated := o.lostAll(now, voters)
+	o.reportsIsolation = isolated
 	o.mu.Unlock()
 	o.recordAck(o.d.self.Name, now, o.acknowledge(records))
 	m := peer.Message{Renewal: &peer.Renewal{
 		Sent: now, OwnerRecords: records, LastChanges: v.LastChanges, ConfirmedAge: o.d.confirmationAges(),
+		Isolated: isolated,
 	}}
-	voters := o.voters()
 	if scope == toAll {
 		o.send(v, m, func(string) bool { return true })
 		return
@@ -158,6 +161,27 @@
 	at  time.Duration
 }
 
+// lostAll reports whether this VM has lost all its leases. The mutex must be held.
+func (o *ownership) lostAll(now time.Duration, voters []string) bool {
+	for _, held := range o.leases {
+		if !held.Lost(now, voters, o.ended) {
+			return false
+		}
+	}
+	return true
+}
+
+// recordIsolation records whether a VM has reported that none of its leases is valid.
+func (o *ownership) recordIsolation(run directory.RunID, isolated bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if isolated {
+		o.isolated[run.Name] = run
+	} else {
+		delete(o.isolated, run.Name)
+	}
+}
+
 // lastRunRenewal returns the time of the last renewal without records from the holder of an owner record. The mutex
 // must be held.
 func (o *ownership) lastRunRenewal(record directory.OwnerRecord) time.Duration {
@@ -191,6 +215,9 @@
 			held.RecordGrant(vm, sent)
 		}
 	}
+	if o.reportsIsolation && !o.lostAll(o.d.bootClock(), o.voters()) {
+		o.broadcast.Store(true) // the VMs that have heard of the isolation serve again
+	}
 }
 
 // releasePromise ends the promise to an owner that has released its service.
@@ -273,11 +300,15 @@
 	}
 }
 
-// heardWithin reports whether the owner of a service renewed its lease within the given time.
+// heardWithin reports whether the owner of a service renewed its lease within the given time and can serve. VMs that are
+// isolated together hear from each other.
 func (o *ownership) heardWithin(record directory.OwnerRecord, within time.Duration) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := o.d.bootClock()
+	if o.isolated[record.Holder.Name] == record.Holder {
+		return false
+	}
 	at := o.lastRunRenewal(record)
 	return at > 0 && now-at <= within || o.voter.HeardWithin(now, record, within)
 }
--- a/internal/entryvm/router.go
+++ b/internal/entryvm/router.go
@@ -146,8 +146,14 @@
 	services := make(reachability, len(v.Configuration.Services))
 	for service := range v.Configuration.Services {
 		record, ok := v.OwnerRecords[service]
-		services[service] = ok && (record.Holder == r.d.self.RunID() && r.d.ownership.Valid(service) ||
-			r.d.ownership.heardWithin(record.OwnerRecord, silence))
+		switch {
+		case !ok:
+			services[service] = false
+		case record.Holder == r.d.self.RunID():
+			services[service] = r.d.ownership.Valid(service)
+		default:
+			services[service] = r.d.ownership.heardWithin(record.OwnerRecord, silence)
+		}
 	}
 	return services
 }
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -150,6 +150,11 @@
 	return l.established && l.lastRead > 0 && now < l.lastRead+RecordTTL-SafetyMargin
 }
 
+// Lost reports whether a lease that the majority had confirmed is no longer valid.
+func (l *Lease) Lost(now time.Duration, members []string, ended func(directory.RunID) bool) bool {
+	return !l.Valid(now, members, ended) && l.established
+}
+
 // ValidUntil returns the time until which a majority of the members has promised, less SafetyMargin, or 0 if
 // fewer members have ever acknowledged a renewal. It sets established once a majority has.
 func (l *Lease) ValidUntil(members []string) time.Duration {
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -181,3 +181,24 @@
 		}
 	})
 }
+
+// Guards against an owner that counts as isolated before its first majority, and against one that still counts as
+// reachable after it has lost its lease.
+func TestLostLease(t *testing.T) {
+	is := is.New(t)
+	members := []string{"a", "b", "c"}
+	never := func(directory.RunID) bool { return false }
+	l := New(0, directory.OwnerRecord{Service: "s", Epoch: 1})
+	is.True(!l.Lost(time.Second, members, never))
+	l.RecordGrant("a", time.Second)
+	l.RecordGrant("b", time.Second)
+	is.True(!l.Lost(time.Second, members, never))
+	l.RecordGrant("a", 2*time.Second)
+	is.True(l.Lost(time.Second+TTL, members, never))
+	l.RecordRead(time.Second + TTL)
+	is.True(!l.Lost(time.Second+TTL, members, never)) // it reads its record in the store
+	l.RecordGrant("c", 2*time.Second+TTL)
+	is.True(l.Lost(2*time.Second+TTL, members, never))
+	l.RecordGrant("b", 2*time.Second+TTL)
+	is.True(!l.Lost(2*time.Second+TTL, members, never))
+}
--- a/internal/peer/link_test.go
+++ b/internal/peer/link_test.go
@@ -25,7 +25,7 @@
 		LatencyObjective: 250 * time.Millisecond, Timeout: 800 * time.Millisecond,
 		Statement: statement.Statement{ID: "5c0e", Kind: statement.Execute, Text: "EXECUTE s1 \xff\xfe", Name: "s1", Args: "\xff\xfe"},
 		Prepared:  statement.PreparedQuery{Text: "q2c", Writes: true},
-		Settings:  []statement.Setting{{Name: "a", Value: "1"}, {Name: "b", Value: ""}},
+		Settings:  []statement.Setting{{Name: "a", Value: "1"}, {Name: "b", Value: ""}}, AtReplicas: true, Admitted: true,
 	}
 }
 
@@ -45,12 +45,16 @@
 		}}},
 		{EndStream: &EndStream{Stream: 5}},
 		{Renewal: &Renewal{Sent: time.Hour, OwnerRecords: []directory.OwnerRecordEntry{{OwnerRecord: record, Revision: 9}}, LastChanges: counts,
-			ConfirmedAge: [directory.KindCount]time.Duration{time.Second, 0, -1, 5}}},
+			ConfirmedAge: [directory.KindCount]time.Duration{time.Second, 0, -1, 5}, Isolated: true}},
 		{RenewalAck: &RenewalAck{Sent: 1, Services: []string{"s"}, LastChanges: counts}},
 		{ChangesRequest: &ChangesRequest{Kind: directory.Fleet, Since: 12}},
 		{FailureQuery: &FailureQuery{OwnerRecord: record}},
 		{Seq: 2, IsResponse: true, FailureVote: &FailureVote{Suspected: true}},
-		{Release: &Release{Service: "s", Epoch: 3}},
+		{Release: &Release{Service: "s", Epoch: 3, Successor: &directory.OwnerRecordEntry{OwnerRecord: record, Revision: 9}}},
+		{Seq: 3, PositionQuery: &PositionQuery{Service: "s", Domain: "d"}},
+		{Seq: 3, IsResponse: true, PositionReport: &broker.PositionReport{Position: session.Position{Term: 1, Offset: 2}, Age: time.Second,
+			Replicas: map[string]broker.ReplicaStatus{"i": {Applied: session.Position{Term: 1, Offset: 1}, Lag: 60}}, Known: true}},
+		{Seq: 1, IsResponse: true, Result: &broker.Result{Stream: 1, NotOwner: true, Admitted: true}},
 		{Promote: &Promote{Service: "s", Server: "i"}},
 		{PromoteResult: &PromoteResult{Error: "e"}},
 		{TokenRequest: &TokenRequest{Workspace: "w", Count: 3, IsAllocator: true}},
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -53,6 +53,8 @@
 	// ConfirmedAge is the time since the sender confirmed that its state of each kind matches the store.
 	ConfirmedAge [directory.KindCount]time.Duration `cbor:"3,keyasint,omitzero"`
 	LastChanges  [directory.KindCount]uint64        `cbor:"4,keyasint,omitzero"` // revision of the last change of each kind known to the sender
+	// Isolated is set if the sender has lost all its leases: it reaches neither the majority nor the store.
+	Isolated bool `cbor:"5,keyasint,omitzero"`
 }
 
 // RenewalAck acknowledges a Renewal and lists the services whose renewal is granted.
--- a/internal/peer/peers.go
+++ b/internal/peer/peers.go
@@ -20,6 +20,8 @@
 	dialTimeout = 600 * time.Millisecond
 	// redialInterval is the minimum time between two attempts to dial a VM.
 	redialInterval = 200 * time.Millisecond
+	// maxDials bounds the attempts in progress to dial one VM: one that may hang and one after the VM announced itself.
+	maxDials = 2
 )
 
 // Handler receives the messages and events of links.
@@ -63,7 +65,7 @@
 // outgoingLink is the state of a link that this VM dials.
 type outgoingLink struct {
 	link    *Link
-	dialing bool
+	dialing int // attempts in progress
 	retryAt time.Time
 }
 
@@ -81,13 +83,25 @@
 		o = &outgoingLink{}
 		p.outgoing[address] = o
 	}
-	if o.link == nil && !o.dialing && !p.closed && !time.Now().Before(o.retryAt) {
-		o.dialing = true
+	if o.link == nil && o.dialing == 0 && !p.closed && !time.Now().Before(o.retryAt) {
+		o.dialing++
 		go p.dial(address, o)
 	}
 	return o.link
 }
 
+// Announced dials a VM that has opened a link to this one, unless there is a link to it. A dial that began before the VM
+// had power hangs until it times out, although the VM is reachable by now.
+func (p *Peers) Announced(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	o := p.outgoing[address]
+	if o != nil && o.link == nil && o.dialing < maxDials && !p.closed {
+		o.dialing++
+		go p.dial(address, o)
+	}
+}
+
 // OpenLink returns the link to a VM, or nil if none is open. It does not dial.
 func (p *Peers) OpenLink(address string) *Link {
 	p.mu.Lock()
@@ -113,14 +127,21 @@
 		}
 	}
 	p.mu.Lock()
-	o.dialing = false
-	o.link = l
+	o.dialing--
 	o.retryAt = time.Now().Add(redialInterval)
+	redundant := l != nil && o.link != nil
+	if l != nil && !redundant {
+		o.link = l
+	}
 	p.mu.Unlock()
 	if l == nil {
 		p.log.Debug("failed to dial VM", "address", address, "error", err)
 		return
 	}
+	if redundant {
+		p.removeLink(l)
+		return
+	}
 	p.log.Info("link established", "address", address)
 	err = l.read(p.handler.Handle)
 	p.mu.Lock()
