Admit no requests at readers of replicas while the token allocator is unreachable

Cause (reading the change as a whole): without the allocator each VM admits an equal share of a workspace's rate, divided by the number of services, as many as there are owners. Readers of replicas admit requests as well, on up to three VMs a service, so the shares could add up to three times the rate.

Change: a limiter can say that it does not know; a reader that gets this leaves the read to the owner, which decides as before.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -208,11 +208,15 @@
 		b.admit(e)
 		return
 	}
-	b.RateLimiter.Admit(req.Workspace, func(ok bool) {
-		if ok {
+	b.RateLimiter.Admit(req.Workspace, func(a Admission) {
+		switch a {
+		case Admitted:
 			e.admitted = true
 			b.admit(e)
 			return
+		case RateUnknown:
+			reply(notOwnerResult(e))
+			return
 		}
 		b.Metrics.RateLimited.Inc(1)
 		b.Log.Info("refused", "id", req.Statement.ID, "service", b.Service, "workspace", req.Workspace, "reason", "rate")
--- a/internal/broker/replicas_test.go
+++ b/internal/broker/replicas_test.go
@@ -18,17 +18,25 @@
 	"siskinrouter/internal/statement"
 )
 
-// countingLimiter admits all requests and counts them.
+// countingLimiter admits all requests and counts them, or cannot decide.
 type countingLimiter struct {
-	mu sync.Mutex
-	n  int
+	mu      sync.Mutex
+	n       int
+	unknown bool
 }
 
-func (l *countingLimiter) Admit(_ string, done func(bool)) {
+func (l *countingLimiter) Admit(_ string, done func(Admission)) {
 	l.mu.Lock()
-	l.n++
+	unknown := l.unknown
+	if !unknown {
+		l.n++
+	}
 	l.mu.Unlock()
-	done(true)
+	if unknown {
+		done(RateUnknown)
+		return
+	}
+	done(Admitted)
 }
 
 func (l *countingLimiter) admitted() int {
@@ -134,12 +142,18 @@
 	is.True(result.Admitted) // the replica was found to be behind after the read was admitted
 	is.Equal(limiter.admitted(), 2)
 	is.Equal(len(f.ran()), 1)
+	limiter.mu.Lock()
+	limiter.unknown = true
+	limiter.mu.Unlock()
 	admitted := read()
 	admitted.Admitted = true
 	f.inject = func(string, statement.Command) (statement.Code, bool) { return statement.OK, false }
 	time.Sleep(150 * time.Millisecond) // the replica is avoided for 100 ms after it was behind
 	served(t, b, admitted)
 	is.Equal(limiter.admitted(), 2)
+	left := do(b, read())
+	is.True(left.NotOwner) // the owner decides whether it is within the rate
+	is.True(!left.Admitted)
 }
 
 // Guards against a read-only transaction whose statements leave the replica.
--- a/internal/entryvm/ratelimit.go
+++ b/internal/entryvm/ratelimit.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"siskinrouter/internal/broker"
 	"siskinrouter/internal/directory"
 	"siskinrouter/internal/peer"
 	"siskinrouter/internal/quota"
@@ -32,7 +33,22 @@
 // tokenRequest batches the requests of a workspace that wait for tokens.
 type tokenRequest struct {
 	sent    bool
-	waiting []func(bool)
+	waiting []waitingRequest
+}
+
+type waitingRequest struct {
+	done func(broker.Admission)
+	// mayFallBack is set if the request may be admitted by the fallback limiter.
+	mayFallBack bool
+}
+
+// replicaRateLimiter is the limiter of readers of replicas. While the allocator is unreachable, only owners admit
+// requests, because the rate is then divided among the services.
+type replicaRateLimiter struct{ *rateLimiter }
+
+// Admit implements broker.RateLimiter.
+func (r replicaRateLimiter) Admit(workspace string, done func(broker.Admission)) {
+	r.admit(workspace, waitingRequest{done: done})
 }
 
 func newRateLimiter(d *Daemon) *rateLimiter {
@@ -43,22 +59,26 @@
 }
 
 // Admit implements broker.RateLimiter.
-func (r *rateLimiter) Admit(workspace string, done func(bool)) {
+func (r *rateLimiter) Admit(workspace string, done func(broker.Admission)) {
+	r.admit(workspace, waitingRequest{done, true})
+}
+
+func (r *rateLimiter) admit(workspace string, w waitingRequest) {
 	v := r.d.directory.View()
 	if v.Configuration == nil {
 		// A VM that has just started may receive a service before it knows the limits.
-		done(false)
+		w.done(broker.OverRate)
 		return
 	}
-	w, ok := v.Configuration.Workspaces[workspace]
+	limits, ok := v.Configuration.Workspaces[workspace]
 	if !ok {
 		// A route without a key has no workspace and no rate limit.
-		done(true)
+		w.done(broker.Admitted)
 		return
 	}
 	allocator := v.OwnerRecords[quota.AllocatorService(workspace, v.AllServices())]
 	if allocator.Holder == r.d.self.RunID() {
-		done(r.allocate(workspace, 1) > 0)
+		w.done(admission(r.allocate(workspace, 1) > 0))
 		return
 	}
 	r.mu.Lock()
@@ -67,9 +87,9 @@
 		link = r.d.peers.LinkOrDial(v.VMs[allocator.Holder.Name].Address)
 	}
 	if link == nil {
-		n := r.takeFallback(v, w, 1)
+		a := r.fallBack(v, limits, w)
 		r.mu.Unlock()
-		done(n > 0)
+		w.done(a)
 		return
 	}
 	request := r.requests[workspace]
@@ -77,14 +97,21 @@
 		request = &tokenRequest{}
 		r.requests[workspace] = request
 	}
-	request.waiting = append(request.waiting, done)
+	request.waiting = append(request.waiting, w)
 	if request.sent {
 		r.mu.Unlock()
 		return
 	}
 	request.sent = true
 	r.mu.Unlock()
-	go r.fetchTokens(link, allocator.Holder.Name, w)
+	go r.fetchTokens(link, allocator.Holder.Name, limits)
+}
+
+func admission(ok bool) broker.Admission {
+	if ok {
+		return broker.Admitted
+	}
+	return broker.OverRate
 }
 
 // fetchTokens requests tokens from an allocator for all waiting requests, until none is waiting.
@@ -100,31 +127,40 @@
 			return
 		}
 		r.mu.Unlock()
-		granted := r.requestTokens(link, allocator, w, len(waiting))
-		for i, done := range waiting {
-			done(i < granted)
+		granted, ok := r.requestTokens(link, allocator, w, len(waiting))
+		for i, request := range waiting {
+			a := admission(i < granted)
+			if !ok {
+				r.mu.Lock()
+				a = r.fallBack(r.d.directory.View(), w, request)
+				r.mu.Unlock()
+			}
+			request.done(a)
 		}
 	}
 }
 
-// requestTokens returns how many of n requests are admitted.
-func (r *rateLimiter) requestTokens(link *peer.Link, allocator string, w directory.Workspace, n int) int {
+// requestTokens returns how many of n requests the allocator admits. ok is false if it does not respond.
+func (r *rateLimiter) requestTokens(link *peer.Link, allocator string, w directory.Workspace, n int) (granted int, ok bool) {
 	m, err := link.Call(peer.Message{TokenRequest: &peer.TokenRequest{Workspace: w.Name, Count: n}}, tokenTimeout)
 	if err == nil && m.TokenRequest != nil && m.TokenRequest.IsAllocator {
-		return m.TokenRequest.Count
+		return m.TokenRequest.Count, true
 	}
 	r.d.log.Info("token allocator unreachable", "vm", allocator, "workspace", w.Name, "error", err)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.skipUntil[allocator] = r.d.clock() + allocatorBackoff
-	return r.takeFallback(r.d.directory.View(), w, n)
+	return 0, false
 }
 
-// takeFallback takes tokens from this VM's fallback limiter, which divides a workspace's rate equally among the
-// services. The mutex must be held.
-func (r *rateLimiter) takeFallback(v *directory.View, w directory.Workspace, n int) int {
+// fallBack admits a request without the allocator by this VM's fallback limiter, which divides a workspace's rate equally
+// among the services. The mutex must be held.
+func (r *rateLimiter) fallBack(v *directory.View, w directory.Workspace, request waitingRequest) broker.Admission {
+	if !request.mayFallBack {
+		return broker.RateUnknown
+	}
 	r.fallback.SetShare(1 / float64(max(len(v.Configuration.Services), 1)))
-	return r.fallback.Take(r.d.clock(), w, n)
+	return admission(r.fallback.Take(r.d.clock(), w, 1) > 0)
 }
 
 // allocate takes tokens of a workspace for which this VM is the allocator.
