--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -200,6 +200,7 @@
 	declined := b.ReplicasOnly && !b.servesNow(now, e)
 	b.mu.Unlock()
 	if declined {
+		b.Log.Debug("read left to the owner", "id", req.Statement.ID, "service", b.Service, "reason", "no replica serves it at once")
 		reply(Result{Stream: req.Stream, NotOwner: true, Admitted: req.Admitted})
 		return
 	}
@@ -389,6 +390,7 @@
 func (b *Broker) refuse(e *execution, reason string) []pendingReply {
 	delete(b.executions, e.id)
 	if b.ReplicasOnly {
+		b.Log.Debug("read left to the owner", "id", e.req.Statement.ID, "service", b.Service, "reason", reason)
 		return []pendingReply{{e, notOwnerResult(e)}}
 	}
 	b.Metrics.Refused.Inc(1)
--- a/internal/entryvm/daemon.go
+++ b/internal/entryvm/daemon.go
@@ -74,7 +74,9 @@
 	d.rateLimiter = newRateLimiter(d)
 	d.peers = peer.New(&handler{d}, logger, peer.NewMetrics(registry))
 	d.router = &router{d: d, unreachable: unreachableOwners{},
-		readers: readerHealth{skipUntil: map[string]time.Duration{}}}
+		readers:   readerHealth{skipUntil: map[string]time.Duration{}},
+		nearReads: metrics.GetOrRegisterCounter("reads.near", registry),
+		leftReads: metrics.GetOrRegisterCounter("reads.left", registry)}
 	d.callers = entry.NewServer(entry.Config{
 		Router: d.router, NewConn: deps.NewConn, Log: logger, Registry: registry, MaxSessions: s.maxSessions(),
 	})
--- a/internal/entryvm/near.go
+++ b/internal/entryvm/near.go
@@ -91,8 +91,10 @@
 		result, err := executor.Do(req, min(req.Timeout, readerTimeout))
 		switch {
 		case err == nil && !result.NotOwner:
+			r.nearReads.Inc(1)
 			return result, executor, true, true
 		case err == nil:
+			r.leftReads.Inc(1)
 			return result, nil, result.Admitted, false
 		case errors.Is(err, peer.ErrNotSent):
 			continue
--- a/internal/entryvm/router.go
+++ b/internal/entryvm/router.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"siskinrouter/internal/broker"
 	"siskinrouter/internal/directory"
 	"siskinrouter/internal/entry"
@@ -41,6 +43,8 @@
 	unreachableMu sync.Mutex
 	unreachable   unreachableOwners
 	readers       readerHealth
+	// nearReads and leftReads count the reads that a reader of the failure domain served or left to the owner.
+	nearReads, leftReads metrics.Counter
 }
 
 // unreachableOwners holds, by service, since when this VM has not reached the owner.
