Divide the rate among all VMs that admit requests while the token allocator is silent

Change: that commit is taken back; each VM that may admit requests, owner or reader, takes an equal share of the rate, by the number of such VMs in its view. TestFallbackSharesAddUpToTheRate replaces TestReadersAdmitNothingWithoutAllocator and is as strict: it plays the requests on every VM that admits and bounds their sum by the burst.

Also: the failure domains that are lost with all their owners are found once for each plan of claims, not for each vacant service (a million checks ten times a second with a thousand services). TestLostDomainIsNotPreferred.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -209,15 +209,11 @@
 		b.admit(e)
 		return
 	}
-	b.RateLimiter.Admit(req.Workspace, func(a Admission) {
-		switch a {
-		case Admitted:
+	b.RateLimiter.Admit(req.Workspace, func(ok bool) {
+		if ok {
 			e.admitted = true
 			b.admit(e)
 			return
-		case RateUnknown:
-			reply(notOwnerResult(e))
-			return
 		}
 		b.Metrics.RateLimited.Inc(1)
 		b.Log.Info("refused", "id", req.Statement.ID, "service", b.Service, "workspace", req.Workspace, "reason", "rate")
--- a/internal/broker/types.go
+++ b/internal/broker/types.go
@@ -127,19 +127,9 @@
 // RateLimiter applies the rate limits of workspaces.
 type RateLimiter interface {
 	// Admit calls done once with whether a request is within the rate of its workspace, possibly before it returns.
-	Admit(workspace string, done func(Admission))
+	Admit(workspace string, done func(bool))
 }
 
-// Admission is the decision of a RateLimiter.
-type Admission uint8
-
-const (
-	Admitted Admission = iota
-	OverRate
-	// RateUnknown means that the limiter cannot decide. Only readers of replicas get it; the owner decides instead.
-	RateUnknown
-)
-
 // StreamKey identifies a stream. Link is the link over which it arrived, 0 for this VM.
 type StreamKey struct{ Link, Stream uint64 }
 
--- a/internal/entryvm/claim.go
+++ b/internal/entryvm/claim.go
@@ -80,7 +80,7 @@
 	}
 	slices.Sort(vacant)
 	plan := o.newClaimPlan(v)
-	plan.assign(vacant, func(service string) string { return o.ownerDomain(v, service) })
+	plan.assign(vacant, o.ownerDomains(v))
 	rank := plan.ranking.rank("", o.d.self.Name, plan.eligible)
 	var due []string
 	for _, service := range vacant {
--- a/internal/entryvm/ownerdomain.go
+++ b/internal/entryvm/ownerdomain.go
@@ -12,25 +12,24 @@
 // there. It spans the time after a change of the primary in which it is not changed again.
 const followDelay = 3 * time.Second
 
-// ownerDomain returns the failure domain in which a service should be owned, or an empty string for any: that of its
-// primary, so that writes and the reads at the primary do not cross domains. A domain whose owners are all suspected
-// may be lost as a whole. The mutex must be held.
-func (o *ownership) ownerDomain(v *directory.View, service string) string {
-	domain := primaryDomain(v, service)
-	owners, suspected := 0, 0
+// ownerDomains returns a function that names the failure domain in which a service should be owned, or returns an empty
+// string for any: that of its primary, so that writes and the reads at the primary do not cross domains. A domain whose
+// owners are all suspected may be lost as a whole. The mutex must be held.
+func (o *ownership) ownerDomains(v *directory.View) func(service string) string {
+	lost := map[string]bool{}
 	for _, record := range v.OwnerRecords {
-		if v.VMs[record.Holder.Name].Domain != domain {
-			continue
-		}
-		owners++
-		if record.Holder != o.d.self.RunID() && o.suspectedLocked(record.OwnerRecord) {
-			suspected++
+		domain := v.VMs[record.Holder.Name].Domain
+		if all, known := lost[domain]; all || !known {
+			lost[domain] = record.Holder != o.d.self.RunID() && o.suspectedLocked(record.OwnerRecord)
 		}
 	}
-	if owners > 0 && suspected == owners && domain != o.d.self.Domain {
-		return ""
+	return func(service string) string {
+		domain := primaryDomain(v, service)
+		if lost[domain] && domain != o.d.self.Domain {
+			return ""
+		}
+		return domain
 	}
-	return domain
 }
 
 // primaryDomain returns the failure domain of the primary of a service, or an empty string if that is not known. A server
--- a/internal/entryvm/ownerdomain_test.go
+++ b/internal/entryvm/ownerdomain_test.go
@@ -1,11 +1,16 @@
 package entryvm
 
 import (
+	"io"
 	"slices"
 	"testing"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
+
+	"siskinrouter/internal/directory"
 )
 
 // Guards against owners whose every statement crosses to a primary in another failure domain, and against services
@@ -50,3 +55,41 @@
 	is.True(!a.due(at(9.5), "s", "a", "a"))
 	is.True(!a.due(at(10), "s", "c", "a"))
 }
+
+// Guards against services that are assigned to a failure domain that is lost as a whole, and against leaving the domain
+// of a primary because one of several owners there has failed.
+func TestLostDomainIsNotPreferred(t *testing.T) {
+	is := is.New(t)
+	d := New(Settings{Name: "self", Domain: "b"}, Dependencies{}, log.New(io.Discard), metrics.NewRegistry())
+	v := fleetView(6, 2, inDomains("a", "b"), owns("vm-0", "service-0"), owns("vm-2", "service-1"))
+	primary := directory.Server{ID: "p", Service: "service-0", Domain: "a", Primary: true}
+	d.directory.Replace(0, directory.Listing{Kind: directory.Servers, Revision: 1, Entries: []directory.Entry{{Name: "p", Revision: 1, Server: &primary}}})
+	d.directory.Replace(0, directory.Listing{Kind: directory.Fleet, Revision: 1, Entries: fleetEntries(v)})
+	v = d.directory.View()
+	o := d.ownership
+	domain := func() string {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		return o.ownerDomains(v)("service-0")
+	}
+	is.Equal(domain(), "a")
+	for _, service := range []string{"service-0", "service-1"} {
+		is.Equal(domain(), "a")
+		o.firstSeen[service] = firstSeenRecord{epoch: 1, at: d.bootClock() - time.Minute}
+	}
+	is.Equal(domain(), "")
+	o.recordRunRenewal(v.VMs["vm-2"].RunID())
+	is.Equal(domain(), "a")
+}
+
+// fleetEntries returns the store's entries of a view's VMs and owner records.
+func fleetEntries(v *directory.View) []directory.Entry {
+	var entries []directory.Entry
+	for name, vm := range v.VMs {
+		entries = append(entries, directory.Entry{Name: "vm." + name, Revision: 1, VM: &vm})
+	}
+	for name, record := range v.OwnerRecords {
+		entries = append(entries, directory.Entry{Name: "service." + name, Revision: 1, OwnerRecord: &record.OwnerRecord})
+	}
+	return entries
+}
--- a/internal/entryvm/ratelimit.go
+++ b/internal/entryvm/ratelimit.go
@@ -4,7 +4,6 @@
 	"sync"
 	"time"
 
-	"siskinrouter/internal/broker"
 	"siskinrouter/internal/directory"
 	"siskinrouter/internal/peer"
 	"siskinrouter/internal/quota"
@@ -26,6 +25,7 @@
 	// allocated holds the tokens of workspaces for which this VM is the allocator, fallback those that it admits on
 	// its own while the allocator is unreachable.
 	allocated, fallback *quota.Limiter
+	sharesOf            *directory.View // the view from which the share of fallback was derived
 	requests            map[string]*tokenRequest
 	skipUntil           map[string]time.Duration // allocators that did not respond, by VM
 }
@@ -33,22 +33,7 @@
 // tokenRequest batches the requests of a workspace that wait for tokens.
 type tokenRequest struct {
 	sent    bool
-	waiting []waitingRequest
-}
-
-type waitingRequest struct {
-	done func(broker.Admission)
-	// mayFallBack is set if the request may be admitted by the fallback limiter.
-	mayFallBack bool
-}
-
-// replicaRateLimiter is the limiter of readers of replicas. While the allocator is unreachable, only owners admit
-// requests, because the rate is then divided among the services.
-type replicaRateLimiter struct{ *rateLimiter }
-
-// Admit implements broker.RateLimiter.
-func (r replicaRateLimiter) Admit(workspace string, done func(broker.Admission)) {
-	r.admit(workspace, waitingRequest{done: done})
+	waiting []func(bool)
 }
 
 func newRateLimiter(d *Daemon) *rateLimiter {
@@ -59,26 +44,22 @@
 }
 
 // Admit implements broker.RateLimiter.
-func (r *rateLimiter) Admit(workspace string, done func(broker.Admission)) {
-	r.admit(workspace, waitingRequest{done, true})
-}
-
-func (r *rateLimiter) admit(workspace string, w waitingRequest) {
+func (r *rateLimiter) Admit(workspace string, done func(bool)) {
 	v := r.d.directory.View()
 	if v.Configuration == nil {
 		// A VM that has just started may receive a service before it knows the limits.
-		w.done(broker.OverRate)
+		done(false)
 		return
 	}
-	limits, ok := v.Configuration.Workspaces[workspace]
+	w, ok := v.Configuration.Workspaces[workspace]
 	if !ok {
 		// A route without a key has no workspace and no rate limit.
-		w.done(broker.Admitted)
+		done(true)
 		return
 	}
 	allocator := v.OwnerRecords[quota.AllocatorService(workspace, v.AllServices())]
 	if allocator.Holder == r.d.self.RunID() {
-		w.done(admission(r.allocate(workspace, 1) > 0))
+		done(r.allocate(workspace, 1) > 0)
 		return
 	}
 	r.mu.Lock()
@@ -87,9 +68,9 @@
 		link = r.d.peers.LinkOrDial(v.VMs[allocator.Holder.Name].Address)
 	}
 	if link == nil {
-		a := r.fallBack(v, limits, w)
+		n := r.takeFallback(v, w, 1)
 		r.mu.Unlock()
-		w.done(a)
+		done(n > 0)
 		return
 	}
 	request := r.requests[workspace]
@@ -97,21 +78,14 @@
 		request = &tokenRequest{}
 		r.requests[workspace] = request
 	}
-	request.waiting = append(request.waiting, w)
+	request.waiting = append(request.waiting, done)
 	if request.sent {
 		r.mu.Unlock()
 		return
 	}
 	request.sent = true
 	r.mu.Unlock()
-	go r.fetchTokens(link, allocator.Holder.Name, limits)
-}
-
-func admission(ok bool) broker.Admission {
-	if ok {
-		return broker.Admitted
-	}
-	return broker.OverRate
+	go r.fetchTokens(link, allocator.Holder.Name, w)
 }
 
 // fetchTokens requests tokens from an allocator for all waiting requests, until none is waiting.
@@ -127,40 +101,55 @@
 			return
 		}
 		r.mu.Unlock()
-		granted, ok := r.requestTokens(link, allocator, w, len(waiting))
-		for i, request := range waiting {
-			a := admission(i < granted)
-			if !ok {
-				r.mu.Lock()
-				a = r.fallBack(r.d.directory.View(), w, request)
-				r.mu.Unlock()
-			}
-			request.done(a)
+		granted := r.requestTokens(link, allocator, w, len(waiting))
+		for i, done := range waiting {
+			done(i < granted)
 		}
 	}
 }
 
-// requestTokens returns how many of n requests the allocator admits. ok is false if it does not respond.
-func (r *rateLimiter) requestTokens(link *peer.Link, allocator string, w directory.Workspace, n int) (granted int, ok bool) {
+// requestTokens returns how many of n requests are admitted.
+func (r *rateLimiter) requestTokens(link *peer.Link, allocator string, w directory.Workspace, n int) int {
 	m, err := link.Call(peer.Message{TokenRequest: &peer.TokenRequest{Workspace: w.Name, Count: n}}, tokenTimeout)
 	if err == nil && m.TokenRequest != nil && m.TokenRequest.IsAllocator {
-		return m.TokenRequest.Count, true
+		return m.TokenRequest.Count
 	}
 	r.d.log.Info("token allocator unreachable", "vm", allocator, "workspace", w.Name, "error", err)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.skipUntil[allocator] = r.d.clock() + allocatorBackoff
-	return 0, false
+	return r.takeFallback(r.d.directory.View(), w, n)
+}
+
+// takeFallback takes tokens from this VM's fallback limiter, which divides a workspace's rate equally among the VMs that
+// admit requests. The mutex must be held.
+func (r *rateLimiter) takeFallback(v *directory.View, w directory.Workspace, n int) int {
+	if r.sharesOf != v {
+		r.sharesOf = v
+		r.fallback.SetShare(1 / float64(max(len(admittingVMs(v)), 1)))
+	}
+	return r.fallback.Take(r.d.clock(), w, n)
 }
 
-// fallBack admits a request without the allocator by this VM's fallback limiter, which divides a workspace's rate equally
-// among the services. The mutex must be held.
-func (r *rateLimiter) fallBack(v *directory.View, w directory.Workspace, request waitingRequest) broker.Admission {
-	if !request.mayFallBack {
-		return broker.RateUnknown
+// admittingVMs returns the VMs that may admit requests: the owners of the services, and the readers of the other failure
+// domains.
+func admittingVMs(v *directory.View) map[string]bool {
+	names := map[string]bool{}
+	for service := range v.Configuration.Services {
+		if holder := v.OwnerRecords[service].Holder.Name; holder != "" {
+			names[holder] = true
+		}
+		for _, id := range v.ServersOf(service) {
+			domain := v.Servers[id].Domain
+			if ownedIn(v, service, domain) || !hasReplica(v, service, domain) {
+				continue
+			}
+			for _, vm := range readersOf(v, service, domain) {
+				names[vm.Name] = true
+			}
+		}
 	}
-	r.fallback.SetShare(1 / float64(max(len(v.Configuration.Services), 1)))
-	return admission(r.fallback.Take(r.d.clock(), w, 1) > 0)
+	return names
 }
 
 // allocate takes tokens of a workspace for which this VM is the allocator.
--- a/internal/entryvm/replicas.go
+++ b/internal/entryvm/replicas.go
@@ -69,7 +69,6 @@
 		config := r.d.brokerConfig(service)
 		config.ReplicasOnly = true
 		config.Lease = noLease{}
-		config.RateLimiter = replicaRateLimiter{r.d.rateLimiter}
 		// Positions must not seem more recent than they are after this VM was suspended.
 		config.Clock = r.d.bootClock
 		reader = &replicaReader{Broker: broker.New(config, "")}
