--- a/review/cases/deployment.go
+++ b/review/cases/deployment.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -137,7 +138,7 @@
 
 func (d *deployment) startVM(i int) error {
 	v := &vm{name: fmt.Sprintf("edge-%s-%d", zones[i%len(zones)], i/len(zones)+1), zone: zones[i%len(zones)],
-		frontend: standin.FreeAddress(), readiness: standin.FreeAddress(), ended: make(chan struct{})}
+		frontend: freeAddress(), readiness: freeAddress(), ended: make(chan struct{})}
 	address := strings.TrimPrefix(d.web.URL, "http://")
 	for range 2 {
 		l, err := newLink(address)
@@ -172,7 +173,7 @@
 platform.form=objects
 cloud_api.address=%s
 cloud_api.duties=failover
-`, v.name, v.zone, v.frontend, v.readiness, standin.FreeAddress(), v.platform[0].address(), v.platform[1].address())
+`, v.name, v.zone, v.frontend, v.readiness, freeAddress(), v.platform[0].address(), v.platform[1].address())
 	v.settings = filepath.Join(d.dir, v.name+".conf")
 	if err := os.WriteFile(v.settings, []byte(settings), 0o600); err != nil {
 		return err
@@ -186,6 +187,19 @@
 	return nil
 }
 
+// freeAddress returns a loopback address at which nothing listens.
+func freeAddress() string {
+	for {
+		address := standin.FreeAddress()
+		ln, err := net.Listen("tcp", address)
+		if err != nil {
+			continue // another process uses it
+		}
+		_ = ln.Close()
+		return address
+	}
+}
+
 // launch starts the process of a VM.
 func (d *deployment) launch(v *vm) error {
 	out, err := os.OpenFile(filepath.Join(d.dir, v.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
