--- a/review/cases/revoked.go
+++ b/review/cases/revoked.go
@@ -5,8 +5,12 @@
 	"time"
 )
 
-// configApplyTime is config_apply_ms.
-const configApplyTime = 3 * time.Second
+const (
+	// configApplyTime is config_apply_ms.
+	configApplyTime = 3 * time.Second
+	// afterApply makes the wait longer than revoke_ms, 5 s, as well.
+	afterApply = 3 * time.Second
+)
 
 func init() { cases["revoked-key-in-transaction"] = revokedKeyInTransaction }
 
@@ -25,7 +29,7 @@
 		keys = []string{secondKey}
 	}
 	d.configure(2, keys)
-	time.Sleep(configApplyTime + 2*time.Second)
+	time.Sleep(configApplyTime + afterApply)
 	write := c.do("WRITE order paid")
 	commit := answer{code: "not sent"}
 	if write.ok() {
