--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -8,8 +8,10 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -53,12 +55,16 @@
 		rec.add("could not run: %v", err)
 		return couldNot
 	}
-	timeout := time.AfterFunc(maxRunTime, func() {
-		rec.add("could not run: not finished in %s", maxRunTime)
+	abort := func(reason string) {
+		rec.add("could not run: %s", reason)
 		d.stop()
 		os.Exit(couldNot)
-	})
+	}
+	timeout := time.AfterFunc(maxRunTime, func() { abort("not finished in " + maxRunTime.String()) })
 	defer timeout.Stop()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	go func() { abort((<-signals).String()) }()
 	defer d.stop()
 	if err := d.start(); err != nil {
 		rec.add("could not run: %v", err)
