Use nothing that changes data at a primary before its successor is requested

Another server was promoted, the old primary came back, and the client's COMMIT there was acknowledged and then lost.

Cause: an unplanned change rerouted what waited for the primary and left open transactions alone. A statement of an open transaction goes to the connection of the transaction; only the lease of the VM was checked.

Change: a primary is fenced before a promotion is requested. Idle transactions are rolled back (ABORTED), connections of running commits and writes are closed (UNKNOWN), later ones are not sent. Servers are named by id, so that a primary that is no longer listed is fenced too. The same fence applies when another server leads a later term and in a planned change whose step down fails. A commit or write whose lease ended while it ran is unknown instead of acknowledged. The time in which a former owner may finish transactions counts suspended time, and the successor counts it from the moment its lease is valid.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -29,6 +29,7 @@
 	Log         *log.Logger
 	Metrics     *Metrics
 	Clock       func() time.Duration // monotonic, since the start of the process
+	LeaseClock  func() time.Duration // like Clock, but also counts suspended time
 	Domain      string               // failure domain of this VM
 	// TakenOver is set if the previous owner has failed. Otherwise it handed the service over, and may finish
 	// transactions.
@@ -51,6 +52,10 @@
 	recordedPrimary  string
 	primaryChangedAt time.Duration
 	changingPrimary  bool
+	// fenced holds the servers that are no longer used as the primary, by id.
+	fenced map[string]bool
+	// leaseSince is when the lease was first seen to be valid, on LeaseClock.
+	leaseSince time.Duration
 	// quiescedAt is when the last statement at the old primary ended during a switchover.
 	quiescedAt time.Duration
 	txs        map[StreamKey]*tx
@@ -61,7 +66,7 @@
 	weights           map[string]int
 	txIdle            time.Duration // how long a caller may leave a transaction idle; 0 means no limit
 	closed            bool
-	graceEnd          time.Duration // until when a closed broker may finish transactions
+	graceEnd          time.Duration // until when a closed broker may finish transactions, on LeaseClock
 	done              chan struct{}
 	background        sync.WaitGroup
 }
@@ -103,6 +108,7 @@
 	abandoned bool // the caller no longer waits for the rest of the stream
 	admitted  bool // counted against the workspace's rate limit
 	tx        *tx
+	conn      *conn // on which the statement is running
 }
 
 // tx is an open transaction.
@@ -110,6 +116,8 @@
 	key       StreamKey
 	conn      *conn
 	busy      bool
+	readOnly  bool
+	wrote     bool // a statement that changes data has run
 	abandoned bool // the caller left while a statement was running
 	usedAt    time.Duration
 }
@@ -119,7 +127,7 @@
 	b := &Broker{
 		Config: c, ownerSince: c.Clock(), dialTime: initialDialTime, servers: map[string]*server{},
 		txs: map[StreamKey]*tx{}, executions: map[uint64]*execution{}, recordedPrimary: recordedPrimary,
-		weights: map[string]int{}, done: make(chan struct{}),
+		weights: map[string]int{}, done: make(chan struct{}), fenced: map[string]bool{}, leaseSince: notYet,
 	}
 	b.background.Add(1)
 	go b.maintain()
@@ -140,7 +148,7 @@
 		return
 	}
 	b.closed = true
-	b.graceEnd = b.Clock() + grace
+	b.graceEnd = b.LeaseClock() + grace
 	close(b.done)
 	var refused []*execution
 	for id, e := range b.executions {
--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -136,7 +136,7 @@
 		f.offset++
 		response.Position = f.position()
 	}
-	if breaks {
+	if breaks || c.closed {
 		return statement.Response{}, errBroken
 	}
 	response.State = c.state()
@@ -192,7 +192,8 @@
 	o := &fakeOwner{servers: f}
 	start := time.Now()
 	b := New(Config{Service: testService, Dialer: f, Lease: o, RateLimiter: o, Log: log.New(io.Discard),
-		Metrics: NewMetrics(metrics.NewRegistry()), Clock: func() time.Duration { return time.Since(start) }}, "")
+		Metrics: NewMetrics(metrics.NewRegistry()), Clock: func() time.Duration { return time.Since(start) },
+		LeaseClock: func() time.Duration { return time.Since(start) }}, "")
 	t.Cleanup(b.Close)
 	d := directory.New()
 	servers := directory.Listing{Kind: directory.Servers, Revision: 1}
--- a/internal/broker/primarychange.go
+++ b/internal/broker/primarychange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"siskinrouter/internal/placement"
@@ -17,9 +18,11 @@
 	// becomePrimaryTimeout bounds the time from the promotion request until the server is primary; a few hundred
 	// milliseconds are usual.
 	becomePrimaryTimeout = 4 * time.Second
-	// handOverMargin is added to handOverGrace, because a previous owner may learn later than this VM that its
-	// ownership has ended.
+	// handOverMargin is added to handOverGrace for clocks whose rates differ, and for the time from a check of the
+	// lease until the statement arrives at the server.
 	handOverMargin = 300 * time.Millisecond
+	// notYet is the time of an event that has not happened.
+	notYet = time.Duration(math.MaxInt64)
 	// pollInterval is the time between two checks of the state during a change of the primary.
 	pollInterval = 20 * time.Millisecond
 )
@@ -61,6 +64,9 @@
 	}
 	var action placement.Action
 	valid := b.Lease.Valid(b.Service)
+	if valid && b.leaseSince == notYet {
+		b.leaseSince = b.LeaseClock()
+	}
 	if !b.changingPrimary && valid && !b.ReplicasOnly {
 		action = placement.NextAction(now, b.group(now))
 	}
@@ -98,6 +104,10 @@
 	}
 	b.Log.Info("primary", "service", b.Service, "server", s.ID, "term", s.status.Term, "reason", action.Reason,
 		"position", s.status.Received)
+	if b.primary != s.ID {
+		go closeAll(b.fence(b.primary))
+	}
+	delete(b.fenced, s.ID)
 	b.primary = s.ID
 	b.history.Reset()
 	b.setConnLimits()
@@ -124,10 +134,9 @@
 	b.rerouteFromPrimary()
 	if action.Planned {
 		b.quiesce(action.Promote)
-	} else if !b.TakenOver {
-		// A previous owner that handed the service over may still be finishing transactions at a primary that this VM
-		// cannot reach.
-		b.sleepUntil(b.ownerSince + handOverGrace + handOverMargin)
+	} else {
+		b.fencePrimary()
+		b.awaitPredecessor()
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), promotionTimeout)
 	err := b.Lease.Promote(ctx, b.Service, action.Promote)
@@ -168,12 +177,6 @@
 	}
 }
 
-func (b *Broker) sleepUntil(t time.Duration) {
-	if wait := t - b.Clock(); wait > 0 {
-		time.Sleep(wait)
-	}
-}
-
 // quiesce waits for the transactions at the old primary to end and for the new primary to receive its log, then makes
 // the old primary a replica.
 func (b *Broker) quiesce(newPrimary string) {
@@ -182,6 +185,7 @@
 		time.Sleep(pollInterval)
 	}
 	b.abortAtPrimary()
+	b.fencePrimary()
 	b.mu.Lock()
 	b.quiescedAt = b.Clock()
 	s := b.servers[b.primary]
@@ -203,6 +207,7 @@
 	}
 	if err != nil || response.Code != statement.OK {
 		b.Log.Warn("step down failed", "service", b.Service, "server", old.ID, "code", response.Code, "error", err)
+		b.awaitPredecessor()
 	}
 }
 
--- a/internal/broker/replicas_test.go
+++ b/internal/broker/replicas_test.go
@@ -61,7 +61,8 @@
 	limiter := &countingLimiter{}
 	b := New(Config{Service: testService, Dialer: f, Lease: &fakeOwner{servers: f}, RateLimiter: limiter,
 		Log: log.New(io.Discard), Metrics: NewMetrics(metrics.NewRegistry()), Domain: "r1", ReplicasOnly: true,
-		Clock: func() time.Duration { return 10*time.Second + time.Since(start) }}, "")
+		Clock:      func() time.Duration { return 10*time.Second + time.Since(start) },
+		LeaseClock: func() time.Duration { return time.Since(start) }}, "")
 	t.Cleanup(b.Close)
 	b.ApplyView(replicaView(func(*directory.Server) {}))
 	known := func() bool {
@@ -262,7 +263,8 @@
 		start := time.Now()
 		b := New(Config{Service: testService, Dialer: f, Lease: &fakeOwner{servers: f}, RateLimiter: &countingLimiter{},
 			Log: log.New(io.Discard), Metrics: NewMetrics(metrics.NewRegistry()), Domain: domain, ReplicasOnly: replicasOnly,
-			Clock: func() time.Duration { return time.Since(start) }}, "")
+			Clock:      func() time.Duration { return time.Since(start) },
+			LeaseClock: func() time.Duration { return time.Since(start) }}, "")
 		defer b.Close()
 		b.ApplyView(d.View())
 		b.mu.Lock()
--- a/internal/broker/run.go
+++ b/internal/broker/run.go
@@ -121,22 +121,16 @@
 
 // run runs a statement and handles its outcome.
 func (b *Broker) run(e *execution, c *conn) {
-	if !b.mayRun() {
-		b.finish(e, c, outcome{err: errNoLease})
+	if err := b.begin(e, c); err != nil {
+		b.finish(e, c, outcome{err: err})
 		return
 	}
-	b.finish(e, c, b.exchange(e, c))
-}
-
-// mayRun reports whether this VM may use the service's servers: it holds the lease, or it handed the service over less
-// than handOverGrace ago. A successor that cannot reach the primary waits longer than that before it replaces it.
-func (b *Broker) mayRun() bool {
-	if b.Lease.Valid(b.Service) {
-		return true
+	o := b.exchange(e, c)
+	if e.acknowledges(o) && !b.mayRun() {
+		// Another owner may have replaced the primary before the statement ran.
+		o.err = errNoLease
 	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.closed && b.Clock() < b.graceEnd
+	b.finish(e, c, o)
 }
 
 // exchange sets up the caller's session state on the connection and runs the statement.
@@ -196,6 +190,7 @@
 	now := b.Clock()
 	b.mu.Lock()
 	start, replies := b.updateServerState(now, c.server, o)
+	e.conn = nil
 	if e.tx != nil {
 		e.tx.busy = false
 	}
@@ -247,7 +242,8 @@
 // updateServerState updates the state of a server from a response. The mutex must be held.
 func (b *Broker) updateServerState(now time.Duration, s *server, o outcome) ([]dispatched, []pendingReply) {
 	if o.err != nil && !errors.Is(o.err, errStateNotReached) {
-		if !errors.Is(o.err, errNoLease) {
+		// Connections to a fenced server are closed by the fence.
+		if !errors.Is(o.err, errNoLease) && !errors.Is(o.err, errFenced) && !b.fenced[s.ID] {
 			b.markSuspect(s)
 		}
 		return nil, nil
@@ -279,11 +275,12 @@
 func (b *Broker) keepTx(e *execution, c *conn, o outcome, replies *[]pendingReply) {
 	delete(b.executions, e.id)
 	if e.tx == nil {
-		e.tx = &tx{key: e.key, conn: c, abandoned: e.abandoned}
+		e.tx = &tx{key: e.key, conn: c, abandoned: e.abandoned, readOnly: e.req.Begin == statement.BeginReadOnly}
 		if !e.abandoned {
 			b.txs[e.key] = e.tx
 		}
 	}
+	e.tx.wrote = e.tx.wrote || e.req.Writes()
 	e.tx.usedAt = b.Clock()
 	b.recordLatency(e, o)
 	*replies = append(*replies, pendingReply{e, Result{Stream: e.req.Stream, Response: o.response, TransactionOpen: true}})
--- a/internal/entryvm/daemon.go
+++ b/internal/entryvm/daemon.go
@@ -100,7 +100,7 @@
 func (d *Daemon) brokerConfig(service string) broker.Config {
 	return broker.Config{
 		Service: service, Dialer: d.deps.Dialer, Lease: d.ownership, RateLimiter: d.rateLimiter,
-		Log: d.log, Metrics: d.metrics, Clock: d.clock, Domain: d.self.Domain,
+		Log: d.log, Metrics: d.metrics, Clock: d.clock, LeaseClock: d.bootClock, Domain: d.self.Domain,
 	}
 }
 
--- a/internal/entryvm/ownership_test.go
+++ b/internal/entryvm/ownership_test.go
@@ -35,7 +35,7 @@
 	d := New(Settings{Name: "a"}, Dependencies{}, logger, registry)
 	h := blockingLease{asked: make(chan struct{}), proceed: make(chan struct{})}
 	b := broker.New(broker.Config{
-		Service: "ledger", Lease: h, Log: logger, Metrics: broker.NewMetrics(registry), Clock: d.clock,
+		Service: "ledger", Lease: h, Log: logger, Metrics: broker.NewMetrics(registry), Clock: d.clock, LeaseClock: d.bootClock,
 	}, "")
 	defer b.Close()
 	d.ownership.draining = []*broker.Broker{b}
