Treat a promotion without a response as unknown instead of failed

The VM that sends promotions was cut off from the platform while a primary was dark. The owner gave up the promotion after 2 s and wrote at the former primary again; the cut ended, the request arrived and the other server led.

Cause: every error of a promotion counted as a failure. A request without a response may be executed later, at the platform and also at the VM that sends promotions for the owner.

Change: a promotion is accepted, without effect (ErrNotPromoted) or unknown. While it is unknown the owner uses no primary, refuses writes at once and repeats the promotion. A new owner whose recorded primary neither leads nor answers promotes a server anew instead of following another one. The owner record is corrected when an owner goes back to its primary.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -52,6 +52,11 @@
 	recordedPrimary  string
 	primaryChangedAt time.Duration
 	changingPrimary  bool
+	// promotionUnknown is set while a promotion may still take effect although it was not accepted. It then names the
+	// server in recordedPrimary.
+	promotionUnknown bool
+	// recordOutdated is set if the owner record names a server that was not promoted.
+	recordOutdated bool
 	// fenced holds the servers that are no longer used as the primary, by id.
 	fenced map[string]bool
 	// leaseSince is when the lease was first seen to be valid, on LeaseClock.
@@ -287,6 +292,9 @@
 			b.waitingForPrimary = append(b.waitingForPrimary, e)
 			return nil, nil
 		}
+		if b.promotionUnknown {
+			return nil, b.refuse(e, "the outcome of a promotion is unknown")
+		}
 		return nil, b.refuse(e, "no server can serve the statement")
 	}
 	e.choice = choice
@@ -331,6 +339,9 @@
 	if b.ReplicasOnly {
 		return false
 	}
+	if b.promotionUnknown {
+		return false
+	}
 	if b.changingPrimary || b.primary == "" {
 		return true
 	}
--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -166,6 +166,10 @@
 	mu      sync.Mutex
 	invalid bool
 	servers *fakeServers
+	// promote replaces the outcome of the next promotions, if set. If it returns nil, the promotion takes effect.
+	promote  func(server string) error
+	promoted []string // servers that were to be promoted
+	recorded string   // server that the owner record names
 }
 
 func (o *fakeOwner) Valid(string) bool {
@@ -175,6 +179,16 @@
 }
 
 func (o *fakeOwner) Promote(_ context.Context, _, server string) error {
+	o.mu.Lock()
+	o.recorded = server
+	o.promoted = append(o.promoted, server)
+	promote := o.promote
+	o.mu.Unlock()
+	if promote != nil {
+		if err := promote(server); err != nil {
+			return err
+		}
+	}
 	o.servers.mu.Lock()
 	defer o.servers.mu.Unlock()
 	o.servers.primary = server
@@ -182,6 +196,13 @@
 	return nil
 }
 
+func (o *fakeOwner) RecordPrimary(_ context.Context, _, server string) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.recorded = server
+	return nil
+}
+
 func (o *fakeOwner) Admit(_ string, done func(bool)) { done(true) }
 
 const testService = "ledger"
--- a/internal/broker/metrics.go
+++ b/internal/broker/metrics.go
@@ -8,6 +8,8 @@
 // Metrics holds the counters of all brokers of a VM.
 type Metrics struct {
 	Refused, RateLimited, Failed, Retries, Connects, Promotions metrics.Counter
+	// PromotionsUnknown counts the promotions that were neither accepted nor certain to have no effect.
+	PromotionsUnknown metrics.Counter
 	// Latency is the time in microseconds from the receipt of a statement to its response.
 	Latency metrics.Histogram
 }
@@ -19,6 +21,7 @@
 		Refused: counter("broker.refused"), RateLimited: counter("broker.refused_rate"),
 		Failed: counter("broker.failed"), Retries: counter("broker.retries"),
 		Connects: counter("broker.connects"), Promotions: counter("broker.promotions"),
-		Latency: metrics.GetOrRegisterHistogram("broker.latency_us", r, metrics.NewUniformSample(latencySamples)),
+		PromotionsUnknown: counter("broker.promotions_unknown"),
+		Latency:           metrics.GetOrRegisterHistogram("broker.latency_us", r, metrics.NewUniformSample(latencySamples)),
 	}
 }
--- a/internal/broker/primarychange.go
+++ b/internal/broker/primarychange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math"
 	"time"
 
@@ -18,6 +19,8 @@
 	// becomePrimaryTimeout bounds the time from the promotion request until the server is primary; a few hundred
 	// milliseconds are usual.
 	becomePrimaryTimeout = 4 * time.Second
+	// promotionEffectTime is longer than a promotion takes from its acceptance until the server leads.
+	promotionEffectTime = 1500 * time.Millisecond
 	// handOverMargin is added to handOverGrace for clocks whose rates differ, and for the time from a check of the
 	// lease until the statement arrives at the server.
 	handOverMargin = 300 * time.Millisecond
@@ -109,11 +112,27 @@
 	}
 	delete(b.fenced, s.ID)
 	b.primary = s.ID
+	b.promotionUnknown = false
+	if b.recordOutdated || b.recordedPrimary != "" && b.recordedPrimary != s.ID {
+		b.recordedPrimary = s.ID
+		b.recordOutdated = false
+		go b.recordPrimary(s.ID)
+	}
 	b.history.Reset()
 	b.setConnLimits()
 	return b.resumeWaiting(now)
 }
 
+// recordPrimary corrects the owner record, so that a later owner follows the primary instead of promoting the server
+// that the record names.
+func (b *Broker) recordPrimary(id string) {
+	ctx, cancel := context.WithTimeout(context.Background(), promotionTimeout)
+	defer cancel()
+	if err := b.Lease.RecordPrimary(ctx, b.Service, id); err != nil {
+		b.Log.Warn("primary not recorded", "service", b.Service, "server", id, "error", err)
+	}
+}
+
 // resumeWaiting routes the statements that waited for a primary. The mutex must be held.
 func (b *Broker) resumeWaiting(now time.Duration) (start []dispatched, replies []pendingReply) {
 	waiting := b.waitingForPrimary
@@ -129,11 +148,11 @@
 // changePrimary replaces the primary. While it runs, no statement is routed to a primary.
 func (b *Broker) changePrimary(action placement.Action) {
 	began := b.Clock()
-	b.Log.Info("primary change started", "service", b.Service, "from", b.primaryID(), "to", action.Promote,
+	b.Log.Info("primary change started", "service", b.Service, "from", action.From, "to", action.Promote,
 		"planned", action.Planned, "reason", action.Reason)
 	b.rerouteFromPrimary()
 	if action.Planned {
-		b.quiesce(action.Promote)
+		b.quiesce(action.From, action.Promote)
 	} else {
 		b.fencePrimary()
 		b.awaitPredecessor()
@@ -141,18 +160,17 @@
 	ctx, cancel := context.WithTimeout(context.Background(), promotionTimeout)
 	err := b.Lease.Promote(ctx, b.Service, action.Promote)
 	cancel()
-	promoted := err == nil && b.awaitPrimary(action.Promote)
+	replies := b.recordPromotion(action.Promote, err)
+	b.startAndReply(nil, replies)
+	promoted := err == nil && b.awaitPrimary(action)
 	b.Metrics.Promotions.Inc(1)
 	now := b.Clock()
 	b.mu.Lock()
 	b.changingPrimary = false
 	b.primaryChangedAt = now
 	b.primary = ""
-	if err == nil {
-		b.recordedPrimary = action.Promote
-	}
 	var start []dispatched
-	var replies []pendingReply
+	replies = nil
 	if promoted {
 		start, replies = b.usePrimary(now, placement.Action{Follow: action.Promote, Reason: "promoted"})
 	}
@@ -162,6 +180,32 @@
 	b.startAndReply(start, replies)
 }
 
+// recordPromotion records the outcome of a promotion request. If it is unknown, the statements that wait for a primary
+// are refused: neither the old primary nor the new one can be used until the outcome is known.
+func (b *Broker) recordPromotion(server string, err error) []pendingReply {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	switch {
+	case err == nil:
+		b.recordedPrimary = server
+		b.promotionUnknown, b.recordOutdated = false, false
+		return nil
+	case errors.Is(err, ErrNotPromoted):
+		b.recordOutdated = true
+		return nil
+	}
+	b.Log.Warn("outcome of a promotion unknown", "service", b.Service, "server", server, "error", err)
+	b.Metrics.PromotionsUnknown.Inc(1)
+	b.recordedPrimary = server
+	b.promotionUnknown = true
+	var replies []pendingReply
+	for _, e := range b.waitingForPrimary {
+		replies = append(replies, b.refuse(e, "the outcome of a promotion is unknown")...)
+	}
+	b.waitingForPrimary = nil
+	return replies
+}
+
 func (b *Broker) primaryID() string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -179,7 +223,7 @@
 
 // quiesce waits for the transactions at the old primary to end and for the new primary to receive its log, then makes
 // the old primary a replica.
-func (b *Broker) quiesce(newPrimary string) {
+func (b *Broker) quiesce(from, to string) {
 	end := b.Clock() + quiesceTime
 	for b.Clock() < end && b.busyAtPrimary() {
 		time.Sleep(pollInterval)
@@ -188,9 +232,10 @@
 	b.fencePrimary()
 	b.mu.Lock()
 	b.quiescedAt = b.Clock()
-	s := b.servers[b.primary]
-	if s == nil || s.ID == newPrimary {
+	s := b.servers[from]
+	if s == nil || from == to {
 		b.mu.Unlock()
+		b.awaitPredecessor()
 		return
 	}
 	old, term := s.Server, s.status.Term
@@ -198,7 +243,7 @@
 	// The new primary catches up while the old one is still primary, because a server that has stepped down may no
 	// longer send its log.
 	end = b.Clock() + quiesceTime
-	for b.Clock() < end && !b.caughtUp(old.ID, newPrimary) {
+	for b.Clock() < end && !b.caughtUp(from, to) {
 		time.Sleep(pollInterval)
 	}
 	response, c, err := b.control(old, nil, statement.Command{Kind: statement.StepDown, Term: term + 1})
@@ -254,13 +299,19 @@
 	return p.statusAt > b.quiescedAt && t.status.Received.Covers(p.status.Received)
 }
 
-// awaitPrimary waits until a server reports that it is primary.
-func (b *Broker) awaitPrimary(id string) bool {
-	end := b.Clock() + becomePrimaryTimeout
+// awaitPrimary waits until a server that was promoted reports that it is primary. A server that already led may have been
+// replaced by a promotion that this VM does not know of; it then leads a later term only after some time.
+func (b *Broker) awaitPrimary(action placement.Action) bool {
+	accepted := b.Clock()
+	end := accepted + becomePrimaryTimeout
+	notBefore := time.Duration(0)
+	if action.From == action.Promote {
+		notBefore = accepted + promotionEffectTime
+	}
 	for b.Clock() < end {
 		b.mu.Lock()
-		s := b.servers[id]
-		isPrimary := s != nil && s.reachable && s.status.Primary
+		s := b.servers[action.Promote]
+		isPrimary := s != nil && s.reachable && s.status.Primary && s.statusAt >= notBefore
 		b.mu.Unlock()
 		if isPrimary {
 			return true
--- a/internal/broker/types.go
+++ b/internal/broker/types.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -138,6 +139,11 @@
 	// Valid reports whether this VM may currently act as the owner.
 	Valid(service string) bool
 	// Promote records a server as the primary and promotes it. It returns once the platform has accepted the
-	// promotion.
+	// promotion. After an error that does not wrap ErrNotPromoted, the promotion may still take effect at any time.
 	Promote(ctx context.Context, service, server string) error
+	// RecordPrimary records a server that is already the primary.
+	RecordPrimary(ctx context.Context, service, server string) error
 }
+
+// ErrNotPromoted means that a promotion has no effect, neither now nor later.
+var ErrNotPromoted = errors.New("the server was not promoted")
--- a/internal/entryvm/handler.go
+++ b/internal/entryvm/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 
 	"siskinrouter/internal/broker"
@@ -75,6 +76,10 @@
 		h.send(l, peer.Message{Seq: m.Seq, IsResponse: true, TokenRequest: response})
 	case m.Promote != nil:
 		go h.promote(l, m)
+	case m.PromotionConfirm != nil:
+		response := peer.PromotionConfirm{Attempt: m.PromotionConfirm.Attempt,
+			Wanted: d.ownership.confirmPromotion(m.PromotionConfirm.Attempt)}
+		h.send(l, peer.Message{Seq: m.Seq, IsResponse: true, PromotionConfirm: &response})
 	case m.PositionQuery != nil:
 		report := d.ownership.positionReport(*m.PositionQuery)
 		h.send(l, peer.Message{Seq: m.Seq, IsResponse: true, PositionReport: &report})
@@ -141,12 +146,16 @@
 
 // promote executes a promotion request from the owner of another service.
 func (h *handler) promote(l *peer.Link, m peer.Message) {
-	ctx, cancel := context.WithTimeout(context.Background(), promotionTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), executionTimeout)
 	defer cancel()
 	done := &peer.PromoteResult{}
-	if err := h.d.ownership.executePromotion(ctx, m.Promote.Service, m.Promote.Server); err != nil {
+	err := h.d.ownership.executePromotion(ctx, m.Promote.Service, m.Promote.Server, func(ctx context.Context) error {
+		return confirmWith(l, m.Promote.Attempt)
+	})
+	if err != nil {
 		h.d.log.Warn("promotion failed", "service", m.Promote.Service, "server", m.Promote.Server, "error", err)
 		done.Error = err.Error()
+		done.NotPromoted = errors.Is(err, broker.ErrNotPromoted)
 	}
 	h.send(l, peer.Message{Seq: m.Seq, IsResponse: true, PromoteResult: done})
 }
--- a/internal/entryvm/ownership.go
+++ b/internal/entryvm/ownership.go
@@ -42,6 +42,8 @@
 	firstSeen   map[string]firstSeenRecord // by service
 	runRenewals map[string]runRenewal      // by VM
 	isolated    map[string]directory.RunID // VMs that have reported to be isolated, by name
+	// promotions holds the promotions that this VM has requested and still waits for.
+	promotions map[uint64]*promotionAttempt
 	// reportsIsolation is set while the renewals of this VM say that it is isolated.
 	reportsIsolation bool
 	absences         absences // used by run only
@@ -53,7 +55,7 @@
 		brokers: map[string]*broker.Broker{}, claiming: map[string]bool{},
 		vacantSince: map[string]time.Duration{}, refusedRuns: map[string]directory.RunID{},
 		firstSeen: map[string]firstSeenRecord{}, runRenewals: map[string]runRenewal{},
-		isolated: map[string]directory.RunID{}, absences: absences{},
+		isolated: map[string]directory.RunID{}, absences: absences{}, promotions: map[uint64]*promotionAttempt{},
 	}
 }
 
--- a/internal/entryvm/ownership_test.go
+++ b/internal/entryvm/ownership_test.go
@@ -27,6 +27,8 @@
 
 func (blockingLease) Promote(context.Context, string, string) error { return nil }
 
+func (blockingLease) RecordPrimary(context.Context, string, string) error { return nil }
+
 // Guards against a deadlock when an owner record changes while a broker checks its lease: each side held its own
 // mutex and waited for the other's.
 func TestChangeOfRecordsDoesNotWaitForBrokers(t *testing.T) {
--- a/internal/entryvm/promote.go
+++ b/internal/entryvm/promote.go
@@ -4,65 +4,174 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"time"
 
+	"siskinrouter/internal/broker"
 	"siskinrouter/internal/directory"
 	"siskinrouter/internal/peer"
 )
 
+const (
+	// promotionTimeout bounds a promotion executed by another VM. That VM gives up after executionTimeout, so that its
+	// response arrives in time.
+	promotionTimeout = 2 * time.Second
+	executionTimeout = 1700 * time.Millisecond
+	// confirmTimeout bounds the question whether a promotion is still wanted; a round trip takes a few milliseconds.
+	confirmTimeout = 300 * time.Millisecond
+)
+
+// promotionAttempt is a promotion that this VM has requested from the promotion coordinator.
+type promotionAttempt struct {
+	service string
+	// confirmed is set once the coordinator was told to execute it. From then on its effect is unknown until the
+	// coordinator responds.
+	confirmed bool
+}
+
+// notPromoted wraps an error after which a promotion has no effect.
+func notPromoted(err error) error { return fmt.Errorf("%w: %w", broker.ErrNotPromoted, err) }
+
 // Promote records a server as the primary of a service and promotes it.
 func (o *ownership) Promote(ctx context.Context, service, server string) error {
+	if err := o.RecordPrimary(ctx, service, server); err != nil {
+		return notPromoted(err)
+	}
+	if !o.Valid(service) {
+		return notPromoted(fmt.Errorf("the lease of service %q has ended", service))
+	}
+	return o.requestPromotion(ctx, service, server)
+}
+
+// RecordPrimary records a server as the primary of a service.
+func (o *ownership) RecordPrimary(ctx context.Context, service, server string) error {
 	record, ok := o.d.directory.View().OwnerRecords[service]
 	if !ok || record.Holder != o.d.self.RunID() {
 		return fmt.Errorf("service %q is owned by another VM", service)
 	}
-	if record.Primary != server {
-		next := record.OwnerRecord
-		next.Primary = server
-		if err := o.writeRecord(ctx, next, record.Revision); err != nil {
-			return err
-		}
-	}
-	if !o.Valid(service) {
-		return fmt.Errorf("the lease of service %q has ended", service)
+	if record.Primary == server {
+		return nil
 	}
-	return o.requestPromotion(ctx, service, server)
+	next := record.OwnerRecord
+	next.Primary = server
+	return o.writeRecord(ctx, next, record.Revision)
 }
 
 // requestPromotion asks the promotion coordinator to promote a server.
 func (o *ownership) requestPromotion(ctx context.Context, service, server string) error {
 	coordinator, ok := coordinatorRecord(o.d.directory.View())
 	if !ok {
-		return errors.New("there is no promotion coordinator")
+		return notPromoted(errors.New("there is no promotion coordinator"))
 	}
 	if coordinator.Holder == o.d.self.RunID() {
-		return o.executePromotion(ctx, service, server)
+		ctx, cancel := context.WithTimeout(ctx, executionTimeout)
+		defer cancel()
+		return o.executePromotion(ctx, service, server, func(context.Context) error {
+			if !o.Valid(service) {
+				return fmt.Errorf("the lease of service %q has ended", service)
+			}
+			return nil
+		})
 	}
 	l := o.d.peers.WaitForLink(ctx, o.d.directory.View().VMs[coordinator.Holder.Name].Address)
 	if l == nil {
-		return errors.New("the promotion coordinator cannot be reached")
+		return notPromoted(errors.New("the promotion coordinator cannot be reached"))
 	}
-	m, err := l.Call(peer.Message{Promote: &peer.Promote{Service: service, Server: server}}, promotionTimeout)
-	if err != nil {
+	attempt := o.beginPromotion(service)
+	m, err := l.Call(peer.Message{Promote: &peer.Promote{Service: service, Server: server, Attempt: attempt}}, promotionTimeout)
+	confirmed := o.endPromotion(attempt)
+	switch {
+	case err != nil && !confirmed:
+		// The coordinator asks for a confirmation before it executes the request, and gets none from now on.
+		return notPromoted(err)
+	case err != nil:
 		return err
-	}
-	if m.PromoteResult == nil || m.PromoteResult.Error != "" {
-		return fmt.Errorf("promotion refused: %+v", m.PromoteResult)
+	case m.PromoteResult == nil:
+		return errors.New("the promotion coordinator sent another response")
+	case m.PromoteResult.NotPromoted:
+		return notPromoted(errors.New(m.PromoteResult.Error))
+	case m.PromoteResult.Error != "":
+		return errors.New(m.PromoteResult.Error)
 	}
 	return nil
 }
 
-// promotionTimeout bounds a promotion executed by another VM.
-const promotionTimeout = 2 * time.Second
+// beginPromotion registers a request to the promotion coordinator and returns its id.
+func (o *ownership) beginPromotion(service string) uint64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	id := rand.Uint64()
+	o.promotions[id] = &promotionAttempt{service: service}
+	return id
+}
+
+// endPromotion removes a request, so that the coordinator no longer executes it, and reports whether it may have done so.
+func (o *ownership) endPromotion(id uint64) (confirmed bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	confirmed = o.promotions[id].confirmed
+	delete(o.promotions, id)
+	return confirmed
+}
+
+// confirmPromotion reports whether this VM still waits for a promotion and owns the service.
+func (o *ownership) confirmPromotion(id uint64) bool {
+	now, voters := o.d.bootClock(), o.voters()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	attempt := o.promotions[id]
+	if attempt == nil {
+		return false
+	}
+	held := o.leases[attempt.service]
+	if held == nil || !held.Valid(now, voters, o.ended) {
+		return false
+	}
+	attempt.confirmed = true
+	return true
+}
+
+// confirmWith asks the owner that requested a promotion whether it is still wanted.
+func confirmWith(l *peer.Link, attempt uint64) error {
+	m, err := l.Call(peer.Message{PromotionConfirm: &peer.PromotionConfirm{Attempt: attempt}}, confirmTimeout)
+	if err != nil {
+		return fmt.Errorf("promotion not confirmed: %w", err)
+	}
+	if m.PromotionConfirm == nil || !m.PromotionConfirm.Wanted {
+		return errors.New("the owner no longer wants the promotion")
+	}
+	return nil
+}
 
-// executePromotion sends the promotion to the platform if this VM is the promotion coordinator.
-func (o *ownership) executePromotion(ctx context.Context, service, server string) error {
+// executePromotion sends the promotion to the platform if this VM is the promotion coordinator. wanted reports why the
+// owner of the service no longer wants it, nil if it does.
+func (o *ownership) executePromotion(ctx context.Context, service, server string, wanted func(context.Context) error) error {
 	coordinator, ok := coordinatorRecord(o.d.directory.View())
-	if !ok || coordinator.Holder != o.d.self.RunID() || !o.Valid(coordinator.Service) {
-		return errors.New("this VM does not have the duty to promote")
+	if !ok || coordinator.Holder != o.d.self.RunID() {
+		return notPromoted(errors.New("this VM does not have the duty to promote"))
 	}
 	o.d.log.Info("promoting server", "service", service, "server", server, "token", coordinator.Epoch)
-	return o.d.deps.Promoter.Promote(ctx, service, server, o.d.self.Name, coordinator.Epoch)
+	return o.d.deps.Promoter.Promote(ctx, Promotion{
+		Service: service, Server: server, Holder: o.d.self.Name, Token: coordinator.Epoch,
+		Confirm: func(ctx context.Context) error {
+			if err := wanted(ctx); err != nil {
+				return err
+			}
+			if !o.holds(coordinator.OwnerRecord) {
+				return errors.New("this VM does not have the duty to promote")
+			}
+			return nil
+		},
+	})
+}
+
+// holds reports whether this VM may act under an owner record.
+func (o *ownership) holds(record directory.OwnerRecord) bool {
+	now, voters := o.d.bootClock(), o.voters()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	held := o.leases[record.Service]
+	return held != nil && held.Record.Epoch == record.Epoch && held.Valid(now, voters, o.ended)
 }
 
 // coordinatorRecord returns the owner record whose holder is the promotion coordinator: it promotes servers for the
--- a/internal/entryvm/replicas.go
+++ b/internal/entryvm/replicas.go
@@ -56,6 +56,10 @@
 	return errors.New("a reader of replicas does not promote servers")
 }
 
+func (noLease) RecordPrimary(context.Context, string, string) error {
+	return errors.New("a reader of replicas does not record primaries")
+}
+
 // broker returns the broker that serves a service at the replicas, or nil if this VM cannot serve there now.
 func (r *replicaReaders) broker(service string) *broker.Broker {
 	v := r.d.directory.View()
--- a/internal/entryvm/settings.go
+++ b/internal/entryvm/settings.go
@@ -48,7 +48,19 @@
 	Reload func() (Settings, error)
 }
 
-// Promoter promotes a server to the primary of its service.
+// Promotion is a request to make a server the primary of its service.
+type Promotion struct {
+	Service, Server string
+	// Holder is the VM that sends the request, and Token its fencing token.
+	Holder string
+	Token  uint64
+	// Confirm is called once the platform can be reached, immediately before the request is sent. If it returns an
+	// error, the request must not be sent.
+	Confirm func(ctx context.Context) error
+}
+
+// Promoter sends promotions to the platform. An error wraps broker.ErrNotPromoted only if the promotion has no effect,
+// neither now nor later.
 type Promoter interface {
-	Promote(ctx context.Context, service, server, holder string, token uint64) error
+	Promote(ctx context.Context, p Promotion) error
 }
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -30,7 +30,8 @@
 	ChangesRequest *ChangesRequest    `cbor:"16,keyasint,omitzero"`
 	PositionQuery  *PositionQuery     `cbor:"17,keyasint,omitzero"`
 	// PositionReport is the response to a PositionQuery.
-	PositionReport *broker.PositionReport `cbor:"18,keyasint,omitzero"`
+	PositionReport   *broker.PositionReport `cbor:"18,keyasint,omitzero"`
+	PromotionConfirm *PromotionConfirm      `cbor:"19,keyasint,omitzero"`
 }
 
 // Hello announces a VM; it is the first message in each direction.
@@ -86,11 +87,22 @@
 type Promote struct {
 	Service string `cbor:"1,keyasint,omitzero"`
 	Server  string `cbor:"2,keyasint,omitzero"`
+	// Attempt identifies the request in a PromotionConfirm.
+	Attempt uint64 `cbor:"3,keyasint,omitzero"`
 }
 
 // PromoteResult is the response to a Promote; Error is empty on success.
 type PromoteResult struct {
 	Error string `cbor:"1,keyasint,omitzero"`
+	// NotPromoted is set if the promotion has no effect, neither now nor later.
+	NotPromoted bool `cbor:"2,keyasint,omitzero"`
+}
+
+// PromotionConfirm is sent by the promotion coordinator before it executes a Promote, which may have arrived late. The
+// response repeats it with Wanted set if the owner still waits for the promotion.
+type PromotionConfirm struct {
+	Attempt uint64 `cbor:"1,keyasint,omitzero"`
+	Wanted  bool   `cbor:"2,keyasint,omitzero"`
 }
 
 // PositionQuery asks the owner of a service for the primary's position. The sender serves reads at the replicas of a
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -249,3 +249,40 @@
 	g.TakenOver = false
 	is.Equal(NextAction(later, g).Promote, "r2")
 }
+
+// Guards against a new owner that follows the former primary while the recorded promotion may still take effect, because
+// the recorded server does not answer or is no longer listed. Another server is promoted anew.
+func TestRecordedPromotionInDoubt(t *testing.T) {
+	is := is.New(t)
+	for name, change := range map[string]func(*Group){
+		"does not answer": func(g *Group) { g.Servers[1].Reachable, g.Servers[1].Heard = false, false },
+		"not listed":      func(g *Group) { g.Servers = append(g.Servers[:1], g.Servers[2]) },
+	} {
+		t.Log(name)
+		g := Group{Recorded: "r1", Since: time.Minute, Servers: candidates()}
+		change(&g)
+		for waited := time.Duration(0); waited < promotionSettleTime; waited += ms(50) {
+			is.Equal(NextAction(time.Minute+waited, g), Action{})
+		}
+		action := NextAction(time.Minute+promotionSettleTime, g)
+		is.Equal(action.Follow, "")
+		is.True(action.Promote != "" && action.Promote != "r1")
+		is.Equal(action.From, "p")
+	}
+}
+
+// Guards against a promotion that is repeated all the time while the platform refuses it, each time with a call, and
+// against a server that takes the role before the unknown promotion of another one has settled.
+func TestPromotionsAreSpaced(t *testing.T) {
+	is := is.New(t)
+	g := Group{Recorded: "r1", Since: time.Second, ChangedAt: time.Minute, Servers: candidates(), PromotionUnknown: true}
+	is.Equal(NextAction(time.Minute+promotionRetryInterval-ms(1), g), Action{})
+	again := NextAction(time.Minute+promotionRetryInterval, g)
+	is.Equal(again.Promote, "r1")
+	is.True(again.Planned) // p answers and has to step down
+	is.Equal(again.From, "p")
+	g.Servers[0].Reachable, g.Servers[1].Reachable = false, false
+	g.Servers[1].SilentFor = primaryTimeout
+	is.Equal(NextAction(time.Minute+promotionSettleTime-ms(1), g), Action{})
+	is.Equal(NextAction(time.Minute+promotionSettleTime, g).Promote, "r2")
+}
--- a/internal/placement/succession.go
+++ b/internal/placement/succession.go
@@ -21,6 +21,11 @@
 	// with the predecessor, and two attempts to connect have failed.
 	discoveryTime = time.Second
 	takeoverTime  = 500 * time.Millisecond
+	// promotionRetryInterval is the time between two promotions while the primary is not known.
+	promotionRetryInterval = 300 * time.Millisecond
+	// promotionSettleTime is how long another server is not promoted while the promotion of the recorded primary may
+	// still be on its way: the coordinator gives up a request that was not answered within that time.
+	promotionSettleTime = 2 * time.Second
 )
 
 // Candidate is the state of a server by which a primary is chosen.
@@ -42,7 +47,9 @@
 	Since     time.Duration // start of this ownership
 	ChangedAt time.Duration // last change of the primary by this owner; 0 if none
 	TakenOver bool          // the previous owner has failed
-	Servers   []Candidate
+	// PromotionUnknown is set if the promotion of the recorded primary may still take effect.
+	PromotionUnknown bool
+	Servers          []Candidate
 }
 
 // Action is the next action for a group.
@@ -51,8 +58,9 @@
 	Follow string
 	// Promote names the server to be promoted.
 	Promote string
-	// Planned is set if the current primary still responds and can step down first. It is also set when the
-	// promotion of a recorded primary is repeated.
+	// From is the server that leads before the promotion, as far as known.
+	From string
+	// Planned is set if the server that leads still responds and can step down first.
 	Planned bool
 	Reason  string
 }
@@ -80,7 +88,7 @@
 	if !ok {
 		return Action{}
 	}
-	action := Action{Promote: target.ID, Planned: listed && current.Reachable && current.SilentFor < plannedTimeout,
+	action := Action{Promote: target.ID, From: g.Primary, Planned: listed && current.Reachable && current.SilentFor < plannedTimeout,
 		Reason: "the primary does not answer"}
 	if !listed || !current.Usable {
 		action.Reason = "the primary is leaving or in a withdrawn failure domain"
@@ -88,30 +96,36 @@
 	return action
 }
 
-// discover finds the primary after a change of the owner.
+// discover finds the primary after a change of the owner, or after a promotion. The recorded primary may have been
+// promoted although another server still reports to lead, so no other server is followed: it is promoted anew.
 func discover(now time.Duration, g Group, byID map[string]Candidate) Action {
-	if g.Recorded != "" {
-		recorded, listed := byID[g.Recorded]
-		if listed && recorded.Reachable && recorded.Primary {
-			return Action{Follow: g.Recorded, Reason: "recorded primary"}
-		}
-		if listed && recorded.Heard && now-g.Since > discoveryTime {
-			// A previous owner may have ended before its promotion took effect.
-			return Action{Promote: g.Recorded, Planned: true, Reason: "recorded primary does not lead"}
+	recorded := byID[g.Recorded] // the zero Candidate if it is not listed
+	leader := reportedPrimary(g)
+	waited := now - g.Since
+	switch {
+	case g.Recorded == "" && leader.ID != "":
+		return Action{Follow: leader.ID, Reason: "reports to lead the latest term"}
+	case recorded.Reachable && recorded.Primary:
+		return Action{Follow: g.Recorded, Reason: "recorded primary"}
+	case g.ChangedAt > 0 && now-g.ChangedAt < promotionRetryInterval:
+		return Action{}
+	case recorded.Heard && recorded.SilentFor < primaryTimeout:
+		if waited <= discoveryTime {
+			return Action{}
 		}
-	}
-	primary := reportedPrimary(g)
-	if primary.ID != "" && (g.Recorded == "" || primary.Term > byID[g.Recorded].Term && now-g.Since > discoveryTime) {
-		return Action{Follow: primary.ID, Reason: "reports to lead the latest term"}
-	}
-	if wait := now - g.Since; wait < discoveryTime && (wait < takeoverTime || !onlyPrimarySilent(g)) {
+		// A previous owner may have ended before its promotion took effect.
+		return Action{Promote: g.Recorded, Planned: leader.ID != "", From: leader.ID, Reason: "recorded primary does not lead"}
+	case waited < discoveryTime && (waited < takeoverTime || !onlyPrimarySilent(g)):
+		return Action{}
+	case g.Recorded != "" && (leader.ID != "" || g.PromotionUnknown) && now-max(g.Since, g.ChangedAt) < promotionSettleTime:
 		return Action{}
 	}
 	target, ok := successor(g)
 	if !ok {
 		return Action{}
 	}
-	return Action{Promote: target.ID, Reason: "no primary answers"}
+	return Action{Promote: target.ID, Planned: leader.ID != "" && leader.ID != target.ID, From: leader.ID,
+		Reason: "no primary answers"}
 }
 
 // onlyPrimarySilent reports whether the previous owner has failed and all servers but one respond as replicas. The one
