Let tokens come from one source at a time when their allocator changes

Cause: the right to hand out tokens passes on, what the former holder has handed out does not. Each new allocator started with half a burst, a former one found its bucket refilled, and the fallback buckets of all VMs started with half or all of a burst beside them. An allocator also served its own brokers without a valid lease, and one that did not hear from some VMs handed out their share as well.

Change: the buckets belong to one ownership and start nearly empty; at a hand-over their levels go to the next owner with the release. A fallback starts with what its share has brought since the last response, at most a tenth of its share of the burst, ends with the next response and is debited there. An allocator hands out the share of the VMs that it hears. A VM that is cut off from it asks through a VM of a third failure domain, and admits a tenth of its share after 1.5 s.

--- a/internal/entryvm/handler.go
+++ b/internal/entryvm/handler.go
@@ -54,6 +54,7 @@
 		if m.Release.Successor != nil {
 			d.directory.MergeOwnerRecords(d.clock(), []directory.OwnerRecordEntry{*m.Release.Successor})
 		}
+		d.rateLimiter.inherit(*m.Release)
 	case m.Changes != nil:
 		h.mergeChanges(l, *m.Changes)
 	case m.Hello != nil:
@@ -68,12 +69,12 @@
 			h.send(l, peer.Message{Changes: &changes})
 		}
 	case m.TokenRequest != nil:
-		response := &peer.TokenRequest{Workspace: m.TokenRequest.Workspace,
-			IsAllocator: d.rateLimiter.isAllocator(m.TokenRequest.Workspace)}
-		if response.IsAllocator {
-			response.Count = d.rateLimiter.allocate(m.TokenRequest.Workspace, m.TokenRequest.Count)
+		granted, ok := d.rateLimiter.allocate(*m.TokenRequest)
+		if !ok && m.TokenRequest.Forward {
+			go h.forwardTokenRequest(l, m)
+			return
 		}
-		h.send(l, peer.Message{Seq: m.Seq, IsResponse: true, TokenRequest: response})
+		h.sendTokens(l, m, granted, ok)
 	case m.Promote != nil:
 		go h.promote(l, m)
 	case m.PromotionConfirm != nil:
@@ -144,6 +145,19 @@
 	reply(broker.RolledBackResult(m.Run.Stream))
 }
 
+// sendTokens responds to a token request. ok is false if this VM is not the allocator.
+func (h *handler) sendTokens(l *peer.Link, m peer.Message, granted int, ok bool) {
+	h.send(l, peer.Message{Seq: m.Seq, IsResponse: true, TokenRequest: &peer.TokenRequest{
+		Workspace: m.TokenRequest.Workspace, Count: granted, IsAllocator: ok,
+	}})
+}
+
+// forwardTokenRequest passes on a token request of a VM that cannot reach the allocator.
+func (h *handler) forwardTokenRequest(l *peer.Link, m peer.Message) {
+	granted, ok := h.d.rateLimiter.forward(*m.TokenRequest)
+	h.sendTokens(l, m, granted, ok)
+}
+
 // promote executes a promotion request from the owner of another service.
 func (h *handler) promote(l *peer.Link, m peer.Message) {
 	ctx, cancel := context.WithTimeout(context.Background(), executionTimeout)
--- a/internal/entryvm/ownership.go
+++ b/internal/entryvm/ownership.go
@@ -125,6 +125,13 @@
 	return o.d.directory.View().Ended(run) || o.refusedRuns[run.Name] == run
 }
 
+// runEnded is ended without the mutex held.
+func (o *ownership) runEnded(run directory.RunID) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.ended(run)
+}
+
 // voters returns the names of the VMs that vote on leases.
 func (o *ownership) voters() []string {
 	return voters(o.d.directory.View())
@@ -139,6 +146,21 @@
 	return held != nil && held.Valid(now, o.voters(), o.ended)
 }
 
+// allocation returns the ownership of a service whose lease is valid, for the allocation of tokens: its epoch, its
+// start, and the share of the voters that can reach this VM. reached returns when a VM got tokens from this one.
+func (o *ownership) allocation(service string, reached func(vm string) time.Duration) (epoch uint64, since time.Duration, share float64, ok bool) {
+	now, voters := o.d.bootClock(), o.voters()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	held := o.leases[service]
+	if held == nil || !held.Valid(now, voters, o.ended) {
+		return 0, 0, 0, false
+	}
+	vms := o.d.directory.View().VMs
+	share = held.HeardShare(now, voters, func(vm string) bool { return o.ended(vms[vm].RunID()) }, reached)
+	return held.Record.Epoch, held.Since, share, true
+}
+
 // send sends a message to other VMs. Errors are ignored; an unreachable VM is detected by its missing responses.
 func (o *ownership) send(v *directory.View, m peer.Message, to func(name string) bool) {
 	for name, vm := range v.VMs {
@@ -231,9 +253,12 @@
 	r := peer.Release{Service: record.Service, Epoch: record.Epoch}
 	if next := v.OwnerRecords[record.Service]; next.Epoch > record.Epoch {
 		r.Successor = &next
+		withTokens := r
+		withTokens.Tokens = o.d.rateLimiter.release(record)
+		o.send(v, peer.Message{Release: &withTokens}, func(name string) bool { return name == next.Holder.Name })
 	}
 	o.releasePromise(r)
-	o.send(v, peer.Message{Release: &r}, func(string) bool { return true })
+	o.send(v, peer.Message{Release: &r}, func(name string) bool { return r.Successor == nil || name != r.Successor.Holder.Name })
 }
 
 // broker returns the broker of a service owned by this VM, or nil.
--- a/internal/entryvm/ratelimit.go
+++ b/internal/entryvm/ratelimit.go
@@ -1,6 +1,8 @@
 package entryvm
 
 import (
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -10,24 +12,45 @@
 )
 
 const (
-	// tokenTimeout bounds the wait for an allocator's response; a round trip takes a few milliseconds.
-	tokenTimeout = 60 * time.Millisecond
-	// allocatorBackoff is how long an allocator that did not respond is not asked again.
-	allocatorBackoff = 700 * time.Millisecond
-	// minBurst allows single requests of a workspace with a small rate.
-	minBurst = 1
+	// tokenTimeout bounds the wait for an allocator's response; a round trip takes a few milliseconds. A VM that passes
+	// on a request waits for forwardTimeout.
+	tokenTimeout   = 60 * time.Millisecond
+	forwardTimeout = 40 * time.Millisecond
+	// allocatorBackoff is how long an allocator that did not respond is not asked directly, newAllocatorBackoff how
+	// long one whose lease is not valid yet, and forwardBackoff how long nobody is asked to pass on requests after none
+	// of forwardAttempts VMs could.
+	allocatorBackoff    = 700 * time.Millisecond
+	newAllocatorBackoff = 100 * time.Millisecond
+	forwardBackoff      = 300 * time.Millisecond
+	forwardAttempts     = 2
 )
 
-// rateLimiter applies the rate limits of workspaces to the requests of this VM's brokers.
+// rateLimiter applies the rate limits of workspaces to the requests of this VM's brokers. Its times are on the clock of
+// the leases.
 type rateLimiter struct {
 	d  *Daemon
 	mu sync.Mutex
-	// allocated holds the tokens of workspaces for which this VM is the allocator, fallback those that it admits on
-	// its own while the allocator is unreachable.
-	allocated, fallback *quota.Limiter
-	sharesOf            *directory.View // the view from which the share of fallback was derived
-	requests            map[string]*tokenRequest
-	skipUntil           map[string]time.Duration // allocators that did not respond, by VM
+	// tenures holds the tokens of the workspaces for which this VM is the allocator, by service.
+	tenures     map[string]*tenure
+	services    []string                 // by which tenures assign workspaces
+	servedAt    map[string]time.Duration // when a VM last got tokens from this one, by VM
+	fallbacks   map[string]*quota.Fallback
+	sharesOf    *directory.View // the view for which admitting was counted
+	admitting   int             // VMs that may admit requests
+	requests    map[string]*tokenRequest
+	unreachable map[string]*unreachableAllocator // by the VM that allocates
+}
+
+// tenure is the allocation of tokens during one ownership of a service.
+type tenure struct {
+	*quota.Allocator
+	epoch uint64
+}
+
+// unreachableAllocator holds until when an allocator is not asked.
+type unreachableAllocator struct {
+	direct, forward time.Duration
+	via             string // VM that has passed on the latest request
 }
 
 // tokenRequest batches the requests of a workspace that wait for tokens.
@@ -38,11 +61,16 @@
 
 func newRateLimiter(d *Daemon) *rateLimiter {
 	return &rateLimiter{
-		d: d, allocated: quota.NewLimiter(1, minBurst), fallback: quota.NewLimiter(1, minBurst),
-		requests: map[string]*tokenRequest{}, skipUntil: map[string]time.Duration{},
+		d: d, tenures: map[string]*tenure{}, servedAt: map[string]time.Duration{}, fallbacks: map[string]*quota.Fallback{},
+		requests: map[string]*tokenRequest{}, unreachable: map[string]*unreachableAllocator{},
 	}
 }
 
+// allocatorOf returns the owner record of the service whose owner allocates the tokens of a workspace.
+func allocatorOf(v *directory.View, workspace string) directory.OwnerRecordEntry {
+	return v.OwnerRecords[quota.AllocatorService(workspace, v.AllServices())]
+}
+
 // Admit implements broker.RateLimiter.
 func (r *rateLimiter) Admit(workspace string, done func(bool)) {
 	v := r.d.directory.View()
@@ -57,17 +85,21 @@
 		done(true)
 		return
 	}
-	allocator := v.OwnerRecords[quota.AllocatorService(workspace, v.AllServices())]
+	r.mu.Lock()
+	allocator := allocatorOf(v, workspace)
 	if allocator.Holder == r.d.self.RunID() {
-		done(r.allocate(workspace, 1) > 0)
+		n, ok := r.allocateLocked(v, r.ownRequest(allocator, w, 1))
+		if ok {
+			r.fallback(workspace).Granted(r.d.bootClock())
+		} else {
+			n = r.takeFallback(v, w, 1)
+		}
+		r.mu.Unlock()
+		done(n > 0)
 		return
 	}
-	r.mu.Lock()
-	var link *peer.Link
-	if r.d.clock() >= r.skipUntil[allocator.Holder.Name] {
-		link = r.d.peers.LinkOrDial(v.VMs[allocator.Holder.Name].Address)
-	}
-	if link == nil {
+	now := r.d.bootClock()
+	if u := r.unreachable[allocator.Holder.Name]; u != nil && now < u.direct && now < u.forward {
 		n := r.takeFallback(v, w, 1)
 		r.mu.Unlock()
 		done(n > 0)
@@ -85,11 +117,11 @@
 	}
 	request.sent = true
 	r.mu.Unlock()
-	go r.fetchTokens(link, allocator.Holder.Name, w)
+	go r.fetchTokens(w)
 }
 
-// fetchTokens requests tokens from an allocator for all waiting requests, until none is waiting.
-func (r *rateLimiter) fetchTokens(link *peer.Link, allocator string, w directory.Workspace) {
+// fetchTokens requests tokens for all waiting requests of a workspace, until none is waiting.
+func (r *rateLimiter) fetchTokens(w directory.Workspace) {
 	for {
 		r.mu.Lock()
 		request := r.requests[w.Name]
@@ -101,34 +133,174 @@
 			return
 		}
 		r.mu.Unlock()
-		granted := r.requestTokens(link, allocator, w, len(waiting))
+		granted := r.requestTokens(w, len(waiting))
 		for i, done := range waiting {
 			done(i < granted)
 		}
 	}
 }
 
-// requestTokens returns how many of n requests are admitted.
-func (r *rateLimiter) requestTokens(link *peer.Link, allocator string, w directory.Workspace, n int) int {
-	m, err := link.Call(peer.Message{TokenRequest: &peer.TokenRequest{Workspace: w.Name, Count: n}}, tokenTimeout)
-	if err == nil && m.TokenRequest != nil && m.TokenRequest.IsAllocator {
-		return m.TokenRequest.Count
+// requestTokens returns how many of n requests are admitted: as many as the allocator grants, asked directly or through
+// another VM, else as many as this VM admits on its own.
+func (r *rateLimiter) requestTokens(w directory.Workspace, n int) int {
+	v := r.d.directory.View()
+	allocator := allocatorOf(v, w.Name)
+	r.mu.Lock()
+	m := r.ownRequest(allocator, w, n)
+	r.mu.Unlock()
+	granted, ok := r.askAllocator(v, allocator, m)
+	if !ok {
+		granted, ok = r.askOthers(v, allocator, m)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if ok {
+		r.fallback(w.Name).Granted(r.d.bootClock())
+		return granted
+	}
+	return r.takeFallback(v, w, n)
+}
+
+// ownRequest returns a request of this VM. The mutex must be held.
+func (r *rateLimiter) ownRequest(allocator directory.OwnerRecordEntry, w directory.Workspace, n int) peer.TokenRequest {
+	m := peer.TokenRequest{Workspace: w.Name, Count: n, VM: r.d.self.Name}
+	m.Outage, m.Spent = r.fallback(w.Name).Outage(quota.Source{Service: allocator.Service, Epoch: allocator.Epoch})
+	return m
+}
+
+// askAllocator asks an allocator directly.
+func (r *rateLimiter) askAllocator(v *directory.View, allocator directory.OwnerRecordEntry, m peer.TokenRequest) (granted int, ok bool) {
+	name := allocator.Holder.Name
+	r.mu.Lock()
+	u := r.unreachable[name]
+	if u == nil {
+		u = &unreachableAllocator{}
+		r.unreachable[name] = u
+	}
+	skip := r.d.bootClock() < u.direct
+	r.mu.Unlock()
+	if skip {
+		return 0, false
+	}
+	l := r.d.peers.LinkOrDial(v.VMs[name].Address)
+	if l == nil {
+		return 0, false
+	}
+	granted, ok, err := callForTokens(l, m, tokenTimeout)
+	if ok {
+		return granted, true
+	}
+	r.d.log.Info("token allocator unreachable", "vm", name, "workspace", m.Workspace, "error", err)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.d.bootClock()
+	if err == nil {
+		// It responds but is not the allocator yet, so there is no need to ask others.
+		u.direct, u.forward = now+newAllocatorBackoff, now+newAllocatorBackoff
+	} else {
+		u.direct = now + allocatorBackoff
+	}
+	return 0, false
+}
+
+// askOthers asks other VMs to pass on a request to an allocator that this VM cannot reach, because the link between their
+// failure domains is cut or loses packets in one direction.
+func (r *rateLimiter) askOthers(v *directory.View, allocator directory.OwnerRecordEntry, m peer.TokenRequest) (granted int, ok bool) {
+	name := allocator.Holder.Name
+	r.mu.Lock()
+	u := r.unreachable[name]
+	if r.d.bootClock() < u.forward || r.d.ownership.runEnded(allocator.Holder) {
+		r.mu.Unlock()
+		return 0, false
+	}
+	via := u.via
+	r.mu.Unlock()
+	m.Forward = true
+	for _, vm := range r.forwarders(v, name, via) {
+		l := r.d.peers.OpenLink(v.VMs[vm].Address)
+		if l == nil {
+			continue
+		}
+		if granted, ok, _ = callForTokens(l, m, tokenTimeout); ok {
+			r.mu.Lock()
+			if u.via != vm {
+				r.d.log.Info("token requests are passed on", "allocator", name, "via", vm)
+			}
+			u.via = vm
+			r.mu.Unlock()
+			return granted, true
+		}
 	}
-	r.d.log.Info("token allocator unreachable", "vm", allocator, "workspace", w.Name, "error", err)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.skipUntil[allocator] = r.d.clock() + allocatorBackoff
-	return r.takeFallback(r.d.directory.View(), w, n)
+	u.forward = r.d.bootClock() + forwardBackoff
+	u.via = ""
+	return 0, false
 }
 
-// takeFallback takes tokens from this VM's fallback limiter, which divides a workspace's rate equally among the VMs that
-// admit requests. The mutex must be held.
+// forwarders returns the VMs to be asked to pass on a request to an allocator: the one that has done so before, then
+// some of other failure domains than the allocator and this VM.
+func (r *rateLimiter) forwarders(v *directory.View, allocator, via string) []string {
+	var all, chosen []string
+	for name, vm := range v.VMs {
+		if name != allocator && name != r.d.self.Name && vm.Domain != r.d.self.Domain && vm.Domain != v.VMs[allocator].Domain &&
+			r.d.peers.OpenLink(vm.Address) != nil {
+			all = append(all, name)
+		}
+	}
+	if slices.Contains(all, via) {
+		chosen = append(chosen, via)
+	}
+	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	for _, name := range all {
+		if len(chosen) < forwardAttempts && name != via {
+			chosen = append(chosen, name)
+		}
+	}
+	return chosen
+}
+
+// forward passes on a request of a VM that cannot reach the allocator.
+func (r *rateLimiter) forward(m peer.TokenRequest) (granted int, ok bool) {
+	v := r.d.directory.View()
+	l := r.d.peers.OpenLink(v.VMs[allocatorOf(v, m.Workspace).Holder.Name].Address)
+	if l == nil {
+		return 0, false
+	}
+	m.Forward = false
+	granted, ok, _ = callForTokens(l, m, forwardTimeout)
+	return granted, ok
+}
+
+// callForTokens sends a token request. ok reports whether an allocator has responded.
+func callForTokens(l *peer.Link, m peer.TokenRequest, timeout time.Duration) (granted int, ok bool, err error) {
+	response, err := l.Call(peer.Message{TokenRequest: &m}, timeout)
+	if err != nil || response.TokenRequest == nil || !response.TokenRequest.IsAllocator {
+		return 0, false, err
+	}
+	return response.TokenRequest.Count, true, nil
+}
+
+// fallback returns the fallback of a workspace. The mutex must be held.
+func (r *rateLimiter) fallback(workspace string) *quota.Fallback {
+	f := r.fallbacks[workspace]
+	if f == nil {
+		f = quota.NewFallback(r.d.bootClock())
+		r.fallbacks[workspace] = f
+	}
+	return f
+}
+
+// takeFallback takes tokens on this VM's own account, which are an equal share of those of all VMs that admit requests.
+// The mutex must be held.
 func (r *rateLimiter) takeFallback(v *directory.View, w directory.Workspace, n int) int {
 	if r.sharesOf != v {
 		r.sharesOf = v
-		r.fallback.SetShare(1 / float64(max(len(admittingVMs(v)), 1)))
+		r.admitting = len(admittingVMs(v))
 	}
-	return r.fallback.Take(r.d.clock(), w, n)
+	allocator := allocatorOf(v, w.Name)
+	source := quota.Source{Service: allocator.Service, Epoch: allocator.Epoch}
+	return r.fallback(w.Name).Take(r.d.bootClock(), w, source, r.admitting, n)
 }
 
 // admittingVMs returns the VMs that may admit requests: the owners of the services, and the readers of the other failure
@@ -152,23 +324,84 @@
 	return names
 }
 
-// allocate takes tokens of a workspace for which this VM is the allocator.
-func (r *rateLimiter) allocate(workspace string, n int) int {
-	w := r.d.directory.View().Configuration.Workspaces[workspace]
+// allocate takes tokens for a request. ok is false if this VM is not the allocator of the workspace, or its lease is not
+// valid.
+func (r *rateLimiter) allocate(m peer.TokenRequest) (granted int, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.allocated.Take(r.d.clock(), w, n)
+	return r.allocateLocked(r.d.directory.View(), m)
 }
 
-// isAllocator reports whether this VM is the allocator of a workspace's tokens and may hand them out.
-func (r *rateLimiter) isAllocator(workspace string) bool {
-	v := r.d.directory.View()
+// allocateLocked is allocate with the mutex held.
+func (r *rateLimiter) allocateLocked(v *directory.View, m peer.TokenRequest) (granted int, ok bool) {
 	if v.Configuration == nil {
-		return false
+		return 0, false
+	}
+	w, ok := v.Configuration.Workspaces[m.Workspace]
+	if !ok {
+		return 0, false
+	}
+	service := quota.AllocatorService(m.Workspace, v.AllServices())
+	now := r.d.bootClock()
+	if m.Outage == 0 {
+		r.servedAt[m.VM] = now // it got the response to its previous request
+	}
+	epoch, since, share, ok := r.d.ownership.allocation(service, func(vm string) time.Duration { return r.servedAt[vm] })
+	if !ok {
+		return 0, false
+	}
+	r.reassign(now, v.AllServices())
+	t := r.tenures[service]
+	if t == nil || t.epoch != epoch {
+		t = &tenure{quota.NewAllocator(since), epoch}
+		r.tenures[service] = t
+	}
+	if m.Spent > 0 {
+		t.Debit(now, w, share, m.VM, m.Outage, m.Spent)
+	}
+	return t.Take(now, w, share, m.Count), true
+}
+
+// reassign assigns the workspaces to the services again if these have changed. The mutex must be held.
+func (r *rateLimiter) reassign(now time.Duration, services []string) {
+	if slices.Equal(r.services, services) {
+		return
+	}
+	first := r.services == nil
+	r.services = services
+	if first {
+		return
+	}
+	for service, t := range r.tenures {
+		t.Reassign(now, func(workspace string) bool { return quota.AllocatorService(workspace, services) == service })
+	}
+}
+
+// release ends the allocation of tokens under an owner record and returns the levels of the buckets for the next owner.
+func (r *rateLimiter) release(record directory.OwnerRecord) map[string]float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t := r.tenures[record.Service]
+	if t == nil || t.epoch != record.Epoch {
+		return nil
+	}
+	delete(r.tenures, record.Service)
+	return t.Levels(r.d.bootClock())
+}
+
+// inherit takes over the levels of the buckets from the previous owner of a service.
+func (r *rateLimiter) inherit(m peer.Release) {
+	if m.Successor == nil || m.Successor.Holder != r.d.self.RunID() || m.Tokens == nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t := r.tenures[m.Service]
+	if t == nil || t.epoch < m.Successor.Epoch {
+		t = &tenure{quota.NewAllocator(r.d.bootClock()), m.Successor.Epoch}
+		r.tenures[m.Service] = t
 	}
-	if _, ok := v.Configuration.Workspaces[workspace]; !ok {
-		return false
+	if t.epoch == m.Successor.Epoch {
+		t.Inherit(m.Tokens)
 	}
-	service := quota.AllocatorService(workspace, v.AllServices())
-	return v.OwnerRecords[service].Holder == r.d.self.RunID() && r.d.ownership.Valid(service)
 }
--- a/internal/entryvm/ratelimit_test.go
+++ b/internal/entryvm/ratelimit_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"sync"
 	"testing"
 
 	"github.com/charmbracelet/log"
@@ -10,6 +11,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"siskinrouter/internal/directory"
+	"siskinrouter/internal/peer"
 )
 
 // Guards against a workspace that gets more than its rate while the allocator of its tokens is unreachable: the shares of
@@ -29,6 +31,8 @@
 				Server: &directory.Server{ID: id, Service: service, Domain: domain, Primary: domain == "a"}})
 		}
 	}
+	var mu sync.Mutex
+	var decided sync.WaitGroup
 	admitted := map[string]int{}
 	total := 0
 	for name, vm := range v.VMs {
@@ -43,7 +47,11 @@
 			continue
 		}
 		for range requests {
+			decided.Add(1)
 			d.rateLimiter.Admit("ws", func(ok bool) {
+				defer decided.Done()
+				mu.Lock()
+				defer mu.Unlock()
 				if ok {
 					admitted[name]++
 					total++
@@ -51,7 +59,62 @@
 			})
 		}
 	}
+	decided.Wait()
 	t.Logf("%d admitted: %v", total, admitted)
 	is.True(len(admitted) > 3) // owners and readers
 	is.True(total <= burst)
 }
+
+// Guards against a VM that allocates tokens although its lease has ended, also for the requests of its own brokers: the
+// next allocator hands out the whole rate already.
+func TestOnlyValidLeaseAllocates(t *testing.T) {
+	is := is.New(t)
+	d := isolatedOwner(t, "ledger")
+	configuration := *d.directory.View().Configuration
+	configuration.Version = 2
+	configuration.Workspaces = map[string]directory.Workspace{"ws": {Name: "ws", Rate: 1, Burst: 1000}}
+	d.directory.Replace(0, directory.Listing{Kind: directory.Configurations, Revision: 2, Entries: []directory.Entry{{
+		Name: "main", Revision: 2, Configuration: &configuration,
+	}}})
+	r := d.rateLimiter
+	_, ok := r.allocate(peer.TokenRequest{Workspace: "ws", Count: 1})
+	is.True(!ok)
+	admit := func(n int) (admitted int) {
+		for range n {
+			r.Admit("ws", func(ok bool) {
+				if ok {
+					admitted++
+				}
+			})
+		}
+		return admitted
+	}
+	is.Equal(admit(100), 1) // on its own account
+	for _, name := range d.ownership.voters() {
+		d.ownership.recordAck(name, d.bootClock(), []string{"ledger"})
+	}
+	is.True(admit(100) > 30) // a new allocator starts with a twentieth of the burst
+	granted, ok := r.allocate(peer.TokenRequest{Workspace: "ws", Count: 1000})
+	is.True(ok)
+	is.True(granted < 50)
+}
+
+// Guards against a hand-over in which the tokens of a workspace are lost, or are there twice.
+func TestTokensAreHandedOver(t *testing.T) {
+	is := is.New(t)
+	d := isolatedOwner(t, "ledger")
+	r := d.rateLimiter
+	self := d.self.RunID()
+	record := directory.OwnerRecordEntry{OwnerRecord: directory.OwnerRecord{Service: "ledger", Epoch: 7, Holder: self}}
+	r.inherit(peer.Release{Service: "ledger", Epoch: 6, Successor: &record, Tokens: map[string]float64{"ws": 300}})
+	r.inherit(peer.Release{Service: "ledger", Epoch: 6, Successor: &record, Tokens: map[string]float64{"ws": 300}}) // again
+	w := directory.Workspace{Name: "ws", Rate: 1, Burst: 1000}
+	is.Equal(r.tenures["ledger"].Take(d.bootClock(), w, 1, 1000), 300)
+	is.Equal(r.release(directory.OwnerRecord{Service: "ledger", Epoch: 6}), nil) // another ownership
+	is.True(r.release(record.OwnerRecord)["ws"] < 10)
+	is.Equal(r.release(record.OwnerRecord), nil)
+	other := record
+	other.Holder = directory.RunID{Name: "b", Incarnation: 1}
+	r.inherit(peer.Release{Service: "ledger", Epoch: 6, Successor: &other, Tokens: map[string]float64{"ws": 300}})
+	is.Equal(r.tenures["ledger"], nil) // meant for another VM
+}
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -29,6 +29,10 @@
 	// SuspectTimeout is the time without a renewal after which an owner is suspected to have failed. It spans
 	// three renewals.
 	SuspectTimeout = 650 * time.Millisecond
+	// heardTimeout is the time without an acknowledgment up to which a member counts as connected; it spans two
+	// renewals. After failedTimeout it counts as failed rather than as cut off.
+	heardTimeout  = 500 * time.Millisecond
+	failedTimeout = 5 * time.Second
 )
 
 // promise is a VM's promise to accept no later epoch until it expires.
@@ -134,6 +138,26 @@
 	return now - max(l.Since, l.acked[vm])
 }
 
+// HeardShare returns the share of the members that have acknowledged a renewal recently, or that otherwise reached this
+// VM and got its response. Members that have ended do not count, nor do those that have been silent for so long that they
+// have most likely failed. reached returns when a member reached this VM, 0 if it has not.
+func (l *Lease) HeardShare(now time.Duration, members []string, ended func(vm string) bool,
+	reached func(vm string) time.Duration) float64 {
+	heard, silent := 0, 0
+	for _, name := range members {
+		switch since := min(l.SilentFor(now, name), now-reached(name)); {
+		case since <= heardTimeout:
+			heard++
+		case since <= failedTimeout && !ended(name):
+			silent++
+		}
+	}
+	if heard == 0 {
+		return 1
+	}
+	return float64(heard) / float64(heard+silent)
+}
+
 // RecordRead records that a call to the store that started at the given time found the record unchanged.
 func (l *Lease) RecordRead(started time.Duration) { l.lastRead = max(l.lastRead, started) }
 
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -202,3 +202,29 @@
 	l.RecordGrant("b", 2*time.Second+TTL)
 	is.True(!l.Lost(2*time.Second+TTL, members, never))
 }
+
+// Guards against an allocator that hands out the share of VMs that are cut off from it, and against one that keeps it back
+// for VMs that have ended or failed.
+func TestHeardShare(t *testing.T) {
+	is := is.New(t)
+	members := []string{"a", "b", "c", "d"}
+	none := func(string) bool { return false }
+	never := func(string) time.Duration { return 0 }
+	l := New(0, directory.OwnerRecord{})
+	is.Equal(l.HeardShare(heardTimeout, members, none, never), 1.0)
+	l.RecordGrant("a", time.Minute)
+	l.RecordGrant("b", time.Minute)
+	l.RecordGrant("c", time.Minute-heardTimeout-1)
+	l.RecordGrant("d", time.Minute-heardTimeout-1)
+	is.Equal(l.HeardShare(time.Minute, members, none, never), 0.5)
+	is.Equal(l.HeardShare(time.Minute, members, func(vm string) bool { return vm == "c" }, never), 2.0/3)
+	is.Equal(l.HeardShare(time.Minute, members, none, func(vm string) time.Duration {
+		if vm == "c" {
+			return time.Minute
+		}
+		return 0
+	}), 0.75)
+	l.RecordGrant("a", time.Minute+failedTimeout)
+	l.RecordGrant("b", time.Minute+failedTimeout)
+	is.Equal(l.HeardShare(time.Minute+failedTimeout, members, none, never), 1.0)
+}
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -81,6 +81,9 @@
 	Epoch   uint64 `cbor:"2,keyasint,omitzero"`
 	// Successor is the record of the next owner, so that it starts before the store reports the change.
 	Successor *directory.OwnerRecordEntry `cbor:"3,keyasint,omitzero"`
+	// Tokens holds the levels of the token buckets for which the sender was the allocator, by workspace. It is sent to
+	// the next owner only.
+	Tokens map[string]float64 `cbor:"4,keyasint,omitzero"`
 }
 
 // Promote asks the promotion coordinator to make a server the primary of its service.
@@ -119,9 +122,15 @@
 }
 
 // TokenRequest asks the allocator of a workspace's tokens for Count tokens. In the response Count is the number
-// granted, and IsAllocator reports whether the responding VM is the allocator.
+// granted, and IsAllocator reports whether the allocator has responded.
 type TokenRequest struct {
 	Workspace   string `cbor:"1,keyasint,omitzero"`
 	Count       int    `cbor:"2,keyasint,omitzero"`
 	IsAllocator bool   `cbor:"3,keyasint,omitzero"`
+	// VM is the VM that admits the requests, Spent what it has admitted since the start of an outage of the allocator.
+	VM     string        `cbor:"4,keyasint,omitzero"`
+	Outage time.Duration `cbor:"5,keyasint,omitzero"` // on the clock of VM
+	Spent  int           `cbor:"6,keyasint,omitzero"`
+	// Forward asks a VM that is not the allocator to pass on the request, because VM cannot reach the allocator.
+	Forward bool `cbor:"7,keyasint,omitzero"`
 }
