Let only an owner with a valid lease finish transactions after a hand-over

If the response to its update of the record is lost and it is cut off, its lease ends; it learns of the hand-over later, when the next owner may have replaced the primary, and finished its transactions at the former one.

What callers would see: a commit that is acknowledged at the former primary and lost.

Change: transactions continue only if the lease is still valid when the VM learns of the hand-over. The next owner's lease becomes valid after that, so it waits long enough before it replaces a primary that does not step down.

Evidence: TestOnlyValidLeaseFinishesTransactions, for the decision; it did not exist before.

--- a/internal/entryvm/ownership.go
+++ b/internal/entryvm/ownership.go
@@ -179,6 +179,7 @@
 // applyRecords applies the owner records of the store by starting and ending leases of this VM. serving is set if the
 // configuration, the servers or the withdrawals have changed; brokers depend on nothing else.
 func (o *ownership) applyRecords(v *directory.View, serving bool) {
+	now, voters := o.d.bootClock(), o.voters()
 	o.mu.Lock()
 	var closed, handedOver []*broker.Broker
 	var released []directory.OwnerRecord
@@ -186,7 +187,7 @@
 	for service, held := range o.leases {
 		record, ok := v.OwnerRecords[service]
 		if ok && record.Epoch > held.Record.Epoch {
-			if record.HandedOver && record.Epoch == held.Record.Epoch+1 {
+			if mayFinish(held, record.OwnerRecord, held.Valid(now, voters, o.ended)) {
 				handedOver = append(handedOver, o.brokers[service])
 			} else {
 				closed = append(closed, o.brokers[service])
@@ -236,6 +237,13 @@
 	}
 }
 
+// mayFinish reports whether transactions may continue for a while after the ownership has ended: this VM has handed the
+// service over, and its lease was valid until it learned so. With an earlier end of the lease, the next owner may already
+// have replaced the primary.
+func mayFinish(held *lease.Lease, next directory.OwnerRecord, valid bool) bool {
+	return valid && next.HandedOver && next.Epoch == held.Record.Epoch+1
+}
+
 // removeDrained drops the brokers whose transactions have ended. It calls brokers without holding the mutex, because
 // a broker checks its lease, which takes this mutex, while holding its own.
 func (o *ownership) removeDrained(draining []*broker.Broker) {
--- a/internal/entryvm/ownership_test.go
+++ b/internal/entryvm/ownership_test.go
@@ -7,10 +7,12 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/matryer/is"
 	"github.com/rcrowley/go-metrics"
 
 	"siskinrouter/internal/broker"
 	"siskinrouter/internal/directory"
+	"siskinrouter/internal/lease"
 )
 
 // blockingLease blocks the first broker that checks its lease, while that broker holds its mutex.
@@ -61,3 +63,19 @@
 	close(h.proceed)
 	<-applied
 }
+
+// Guards against a former owner that finishes transactions although its lease has ended before it learned of the hand-over:
+// the response to its update of the record was lost, and the next owner may have replaced the primary meanwhile.
+func TestOnlyValidLeaseFinishesTransactions(t *testing.T) {
+	is := is.New(t)
+	held := lease.New(0, directory.OwnerRecord{Service: "ledger", Epoch: 4})
+	next := directory.OwnerRecord{Service: "ledger", Epoch: 5, HandedOver: true}
+	is.True(mayFinish(held, next, true))
+	is.True(!mayFinish(held, next, false))
+	taken := next
+	taken.HandedOver = false
+	is.True(!mayFinish(held, taken, true))
+	later := next
+	later.Epoch = 6 // an owner in between
+	is.True(!mayFinish(held, later, true))
+}
