Promote a primary that has stepped down while no server leads

What callers would see: no write on the service until the server fails or leaves.

Change: a primary that has reported to be a replica for 1.2 s while no server leads is promoted again; as the former primary it has the most advanced log. An owner checks its lease before it sends the order.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -50,6 +50,7 @@
 	// primary is the current primary; empty while it is unknown or being replaced.
 	primary          string
 	recordedPrimary  string
+	followedAt       time.Duration // when this broker began to use primary
 	primaryChangedAt time.Duration
 	changingPrimary  bool
 	// promotionUnknown is set while a promotion may still take effect although it was not accepted. It then names the
@@ -92,6 +93,7 @@
 	reachable        bool
 	respondedAt      time.Duration
 	statusAt         time.Duration // when the query that returned status was sent
+	ledAt            time.Duration // when it last reported to be primary
 	behindAt         time.Duration
 	suspect          bool // a connection has failed and the server has not responded since
 	stop             chan struct{}
--- a/internal/broker/primarychange.go
+++ b/internal/broker/primarychange.go
@@ -112,6 +112,7 @@
 	}
 	delete(b.fenced, s.ID)
 	b.primary = s.ID
+	b.followedAt = now
 	b.promotionUnknown = false
 	if b.recordOutdated || b.recordedPrimary != "" && b.recordedPrimary != s.ID {
 		b.recordedPrimary = s.ID
@@ -246,6 +247,9 @@
 	for b.Clock() < end && !b.caughtUp(from, to) {
 		time.Sleep(pollInterval)
 	}
+	if !b.Lease.Valid(b.Service) {
+		return // the server may be the primary of the next owner
+	}
 	response, c, err := b.control(old, nil, statement.Command{Kind: statement.StepDown, Term: term + 1})
 	if c != nil {
 		_ = c.Close()
--- a/internal/broker/promotion_test.go
+++ b/internal/broker/promotion_test.go
@@ -102,3 +102,25 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// Guards against a group without a primary after a late order to step down.
+func TestServiceOutlivesLateStepDown(t *testing.T) {
+	is := is.New(t)
+	f := newFakeServers()
+	b, o := newBroker(t, f, 20)
+	f.mu.Lock()
+	f.primary = "" // p is a replica now
+	f.inject = func(server string, c statement.Command) (statement.Code, bool) {
+		if c.Kind == statement.Write && server != f.primary {
+			return statement.ReadOnly, false
+		}
+		return statement.OK, false
+	}
+	f.mu.Unlock()
+	is.Equal(awaitPromotion(t, o), "p")
+	end := time.Now().Add(5 * time.Second)
+	for do(b, request(statement.Write, "WRITE a 1")).Response.Code != statement.OK {
+		is.True(time.Now().Before(end))
+		time.Sleep(20 * time.Millisecond)
+	}
+}
--- a/internal/broker/servers.go
+++ b/internal/broker/servers.go
@@ -222,6 +222,9 @@
 		s.status = st
 		s.statusAt = sent
 		s.statusKnown = true
+		if st.Primary {
+			s.ledAt = now
+		}
 		if applied.Compare(st.Applied) > 0 && applied.Term == st.Applied.Term {
 			s.status.Applied = applied
 		}
@@ -262,7 +265,7 @@
 	for _, s := range b.servers {
 		g.Servers = append(g.Servers, placement.Candidate{
 			ID: s.ID, Usable: s.usable, Heard: s.statusKnown, Reachable: s.reachable, SilentFor: now - s.respondedAt,
-			Primary: s.status.Primary, Term: s.status.Term, Received: s.status.Received,
+			Primary: s.status.Primary, Term: s.status.Term, Received: s.status.Received, DemotedFor: now - max(s.ledAt, b.followedAt),
 		})
 	}
 	return g
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -286,3 +286,17 @@
 	is.Equal(NextAction(time.Minute+promotionSettleTime-ms(1), g), Action{})
 	is.Equal(NextAction(time.Minute+promotionSettleTime, g).Promote, "r2")
 }
+
+// Guards against a group without a primary for ever: a former owner had sent the primary the order to step down, which
+// arrived after its successor had begun to use that server.
+func TestPrimaryThatSteppedDownIsPromoted(t *testing.T) {
+	is := is.New(t)
+	g := Group{Primary: "p", Since: time.Second, Servers: candidates()}
+	g.Servers[0].Primary = false
+	g.Servers[0].DemotedFor = demotedTimeout - 1
+	is.Equal(NextAction(time.Minute, g), Action{})
+	g.Servers[0].DemotedFor = demotedTimeout
+	is.Equal(NextAction(time.Minute, g).Promote, "p")
+	g.Servers[1].Primary, g.Servers[1].Term = true, 4
+	is.Equal(NextAction(time.Minute, g).Follow, "r1")
+}
--- a/internal/placement/succession.go
+++ b/internal/placement/succession.go
@@ -21,6 +21,8 @@
 	// with the predecessor, and two attempts to connect have failed.
 	discoveryTime = time.Second
 	takeoverTime  = 500 * time.Millisecond
+	// demotedTimeout is the time in which a server that was promoted leads after the former primary has stepped down.
+	demotedTimeout = 1200 * time.Millisecond
 	// promotionRetryInterval is the time between two promotions while the primary is not known.
 	promotionRetryInterval = 300 * time.Millisecond
 	// promotionSettleTime is how long another server is not promoted while the promotion of the recorded primary may
@@ -36,8 +38,10 @@
 	Reachable bool          // it answered the latest status query
 	SilentFor time.Duration // since its last response
 	Primary   bool          // reported role
-	Term      uint64
-	Received  session.Position
+	// DemotedFor is the time since it last reported to be primary, if it was the primary of this owner.
+	DemotedFor time.Duration
+	Term       uint64
+	Received   session.Position
 }
 
 // Group is the state of a database group from which the next action is derived.
@@ -79,6 +83,10 @@
 		if primary := reportedPrimary(g); primary.Term > current.Term || primary.ID != "" && primary.Term == current.Term {
 			return Action{Follow: primary.ID, Reason: "another server leads a later term"}
 		}
+		if current.DemotedFor >= demotedTimeout && reportedPrimary(g).ID == "" && now-g.ChangedAt >= promotionRetryInterval {
+			// A former owner has made it step down, and its promotion did not follow. It has the most advanced log.
+			return Action{Promote: g.Primary, Reason: "the primary has stepped down and no server leads"}
+		}
 	}
 	healthy := listed && current.Usable && current.SilentFor < primaryTimeout
 	if healthy || g.ChangedAt > 0 && now-g.ChangedAt < failoverCooldown {
