Check the key of a transaction with each of its statements

Cause: the key was checked in the idle state of a session only, and a BEGIN that the VM answers itself leaves that state.

Change: the first statement of a transaction is checked against the key and the route in effect. In an open transaction a key that was revoked, or given to another workspace, rolls it back at once (ABORTED). Changes of a route apply from the next transaction onward, as before.

--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -47,7 +47,7 @@
 	begin    statement.Statement // zero outside of a transaction
 	stream   uint64
 	executor Executor // nil until a statement has run
-	expired  bool
+	aborted  string   // why this VM has rolled it back, empty if it has not
 }
 
 // run serves the session until it ends.
@@ -138,6 +138,9 @@
 		if s.mustClose() {
 			return statement.Statement{}, errClosed
 		}
+		if s.tx.executor != nil && s.keyWithdrawn() {
+			s.abort(keyNotValid)
+		}
 		limit := s.idleTimeout()
 		var deadline time.Time
 		if limit > 0 {
@@ -152,13 +155,21 @@
 			return st, err
 		}
 		if limit > 0 && time.Since(idleSince) >= limit {
-			s.server.Log.Info("transaction rolled back", "reason", "idle", "database", s.database, "workspace", s.workspace)
-			s.rollBack()
-			s.tx.expired = true
+			s.abort("the transaction rested for too long")
 		}
 	}
 }
 
+// keyNotValid is the reason why a transaction ends whose key has been withdrawn.
+const keyNotValid = "the key is no longer valid"
+
+// abort rolls back the open transaction; its next statement is told why.
+func (s *session) abort(reason string) {
+	s.server.Log.Info("transaction rolled back", "reason", reason, "database", s.database, "workspace", s.workspace)
+	s.rollBack()
+	s.tx.aborted = reason
+}
+
 var errClosed = errors.New("session closed by this VM")
 
 // idleTimeout returns how long the session may stay idle in its current state; 0 means no limit.
@@ -300,8 +311,13 @@
 	if st.Kind == statement.Commit && s.state != statement.InTransaction {
 		return statement.Refusal(statement.Malformed, "no transaction is open")
 	}
-	if s.tx.expired {
-		return s.fail(statement.Refusal(statement.Aborted, "the transaction rested for too long"))
+	if s.tx.aborted != "" {
+		return s.fail(statement.Refusal(statement.Aborted, s.tx.aborted))
+	}
+	if refused := s.recheck(); refused != nil {
+		s.server.counters.refused.Inc(1)
+		s.server.Log.Info("statement refused", "id", st.ID, "database", s.database, "code", refused.Code, "detail", refused.Detail)
+		return s.fail(*refused)
 	}
 	req := s.request(st)
 	if st.Kind == statement.Execute {
@@ -316,6 +332,29 @@
 	return s.applyResponse(st, req, response)
 }
 
+// recheck checks the key and the route of a statement inside a transaction against the configuration in effect. No server
+// has heard of a transaction before its first statement, which is therefore checked like a single one. Later, a change of
+// the route applies from the next transaction onward, and a key that is no longer valid ends the transaction.
+func (s *session) recheck() *statement.Response {
+	switch {
+	case s.state != statement.InTransaction:
+		return nil
+	case s.tx.executor == nil:
+		return s.authorize()
+	case s.keyWithdrawn():
+		refusal := statement.Refusal(statement.Aborted, keyNotValid)
+		return &refusal
+	}
+	return nil
+}
+
+// keyWithdrawn reports whether the key of the session no longer identifies its workspace.
+func (s *session) keyWithdrawn() bool {
+	c := s.server.Router.View().Configuration
+	workspace, known := c.Keys[s.key]
+	return !s.route.NoKey && (!known || workspace != s.workspace)
+}
+
 // request builds the request for the owner.
 func (s *session) request(st statement.Statement) broker.Request {
 	timeout := s.route.Timeout
--- a/internal/entry/session_test.go
+++ b/internal/entry/session_test.go
@@ -314,6 +314,56 @@
 	is.True(ended(busy))
 }
 
+// Guards against a transaction that was begun before its key was revoked, or its route dropped, and runs its first
+// statement any time later: until then no server has heard of it.
+func TestRevokedKeyRunsNoFirstStatement(t *testing.T) {
+	for name, test := range map[string]struct {
+		change func(*directory.Configuration)
+		code   statement.Code
+	}{
+		"key revoked":   {func(c *directory.Configuration) { c.Keys = map[string]string{} }, statement.AuthFailed},
+		"route dropped": {func(c *directory.Configuration) { c.Routes = map[string]directory.Route{} }, statement.UnknownDatabase},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			o, c := newOwner(), newCaller("db", "key")
+			open(t, o, c)
+			is.Equal(c.send(statement.Begin, "BEGIN").Code, statement.OK)
+			o.configure(test.change)
+			is.Equal(c.send(statement.Write, "WRITE a").Code, test.code)
+			is.Equal(len(o.ran), 0)
+		})
+	}
+}
+
+// Guards against a transaction that writes or commits with a key that was revoked or given to another workspace while the
+// transaction was open. It is rolled back at once, also if the caller rests.
+func TestRevokedKeyEndsOpenTransaction(t *testing.T) {
+	for name, change := range map[string]func(*directory.Configuration){
+		"key revoked":           func(c *directory.Configuration) { c.Keys = map[string]string{} },
+		"key of another caller": func(c *directory.Configuration) { c.Keys = map[string]string{"key": "other"} },
+	} {
+		for _, rests := range []bool{false, true} {
+			t.Run(name, func(t *testing.T) {
+				is := is.New(t)
+				o, c := newOwner(), newCaller("db", "key")
+				o.results["WRITE a"] = broker.Result{TransactionOpen: true}
+				s := open(t, o, c)
+				c.send(statement.Begin, "BEGIN")
+				is.Equal(c.send(statement.Write, "WRITE a").Code, statement.OK)
+				o.configure(change)
+				for end := time.Now().Add(5 * time.Second); rests && o.endedStreams() == 0 && time.Now().Before(end); {
+					s.RecheckIdle()
+					time.Sleep(time.Millisecond)
+				}
+				is.Equal(c.send(statement.Commit, "COMMIT").Code, statement.Aborted)
+				is.Equal(len(o.ran), 1) // the commit did not reach the owner
+				is.Equal(o.endedStreams(), 1)
+			})
+		}
+	}
+}
+
 // Guards against callers that hold a server connection by staying idle inside a transaction.
 func TestIdleTransactionIsRolledBack(t *testing.T) {
 	is := is.New(t)
