Follow a recorded primary only in the term in which it leads

If that server is a former primary that has just come back, it still reports to lead, and a new owner followed it at once; the owner that had requested the promotion took it for promoted in the same way. And one of several unanswered requests to promote a server could arrive after that server had led and had been replaced.

What callers would see: writes that are acknowledged by the former primary and lost when the promotion takes effect.

Change: the owner record says from which term on its primary leads. A server of an earlier term is promoted again, and used once the platform's answer must have taken effect.

TestPromotionsAreSpaced covers the repetition.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -49,13 +49,16 @@
 	dialTime   time.Duration // moving average of the time that a server takes to open a connection
 	// primary is the current primary; empty while it is unknown or being replaced.
 	primary          string
-	recordedPrimary  string
+	recorded         RecordedPrimary
 	followedAt       time.Duration // when this broker began to use primary
 	primaryChangedAt time.Duration
 	changingPrimary  bool
 	// promotionUnknown is set while a promotion may still take effect although it was not accepted. It then names the
-	// server in recordedPrimary.
+	// server in recorded.
 	promotionUnknown bool
+	// unsettled is the server whose promotion was not answered the last time, at unsettledAt.
+	unsettled   string
+	unsettledAt time.Duration
 	// recordOutdated is set if the owner record names a server that was not promoted.
 	recordOutdated bool
 	// fenced holds the servers that are no longer used as the primary, by id.
@@ -130,10 +133,10 @@
 }
 
 // New returns a broker that serves once its lease is valid.
-func New(c Config, recordedPrimary string) *Broker {
+func New(c Config, recorded RecordedPrimary) *Broker {
 	b := &Broker{
 		Config: c, ownerSince: c.Clock(), dialTime: initialDialTime, servers: map[string]*server{},
-		txs: map[StreamKey]*tx{}, executions: map[uint64]*execution{}, recordedPrimary: recordedPrimary,
+		txs: map[StreamKey]*tx{}, executions: map[uint64]*execution{}, recorded: recorded,
 		weights: map[string]int{}, done: make(chan struct{}), fenced: map[string]bool{}, leaseSince: notYet,
 	}
 	b.background.Add(1)
--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -178,7 +178,8 @@
 	return !o.invalid
 }
 
-func (o *fakeOwner) Promote(_ context.Context, _, server string) error {
+func (o *fakeOwner) Promote(_ context.Context, _ string, primary RecordedPrimary) error {
+	server := primary.Server
 	o.mu.Lock()
 	o.recorded = server
 	o.promoted = append(o.promoted, server)
@@ -196,10 +197,10 @@
 	return nil
 }
 
-func (o *fakeOwner) RecordPrimary(_ context.Context, _, server string) error {
+func (o *fakeOwner) RecordPrimary(_ context.Context, _ string, primary RecordedPrimary) error {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.recorded = server
+	o.recorded = primary.Server
 	return nil
 }
 
@@ -214,7 +215,7 @@
 	start := time.Now()
 	b := New(Config{Service: testService, Dialer: f, Lease: o, RateLimiter: o, Log: log.New(io.Discard),
 		Metrics: NewMetrics(metrics.NewRegistry()), Clock: func() time.Duration { return time.Since(start) },
-		LeaseClock: func() time.Duration { return time.Since(start) }}, "")
+		LeaseClock: func() time.Duration { return time.Since(start) }}, RecordedPrimary{})
 	t.Cleanup(b.Close)
 	d := directory.New()
 	servers := directory.Listing{Kind: directory.Servers, Revision: 1}
--- a/internal/broker/primarychange.go
+++ b/internal/broker/primarychange.go
@@ -114,10 +114,11 @@
 	b.primary = s.ID
 	b.followedAt = now
 	b.promotionUnknown = false
-	if b.recordOutdated || b.recordedPrimary != "" && b.recordedPrimary != s.ID {
-		b.recordedPrimary = s.ID
+	leads := RecordedPrimary{s.ID, s.status.Term}
+	if b.recordOutdated || b.recorded.Server != "" && (b.recorded.Server != leads.Server || b.recorded.Term > leads.Term) {
+		b.recorded = leads
 		b.recordOutdated = false
-		go b.recordPrimary(s.ID)
+		go b.recordPrimary(leads)
 	}
 	b.history.Reset()
 	b.setConnLimits()
@@ -126,11 +127,11 @@
 
 // recordPrimary corrects the owner record, so that a later owner follows the primary instead of promoting the server
 // that the record names.
-func (b *Broker) recordPrimary(id string) {
+func (b *Broker) recordPrimary(primary RecordedPrimary) {
 	ctx, cancel := context.WithTimeout(context.Background(), promotionTimeout)
 	defer cancel()
-	if err := b.Lease.RecordPrimary(ctx, b.Service, id); err != nil {
-		b.Log.Warn("primary not recorded", "service", b.Service, "server", id, "error", err)
+	if err := b.Lease.RecordPrimary(ctx, b.Service, primary); err != nil {
+		b.Log.Warn("primary not recorded", "service", b.Service, "server", primary.Server, "error", err)
 	}
 }
 
@@ -159,11 +160,12 @@
 		b.awaitPredecessor()
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), promotionTimeout)
-	err := b.Lease.Promote(ctx, b.Service, action.Promote)
+	next := RecordedPrimary{action.Promote, action.Term}
+	err := b.Lease.Promote(ctx, b.Service, next)
 	cancel()
-	replies := b.recordPromotion(action.Promote, err)
+	replies := b.recordPromotion(next, err)
 	b.startAndReply(nil, replies)
-	promoted := err == nil && b.awaitPrimary(action)
+	promoted := err == nil && b.awaitPrimary(next)
 	b.Metrics.Promotions.Inc(1)
 	now := b.Clock()
 	b.mu.Lock()
@@ -183,22 +185,23 @@
 
 // recordPromotion records the outcome of a promotion request. If it is unknown, the statements that wait for a primary
 // are refused: neither the old primary nor the new one can be used until the outcome is known.
-func (b *Broker) recordPromotion(server string, err error) []pendingReply {
+func (b *Broker) recordPromotion(primary RecordedPrimary, err error) []pendingReply {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	switch {
 	case err == nil:
-		b.recordedPrimary = server
+		b.recorded = primary
 		b.promotionUnknown, b.recordOutdated = false, false
 		return nil
 	case errors.Is(err, ErrNotPromoted):
 		b.recordOutdated = true
 		return nil
 	}
-	b.Log.Warn("outcome of a promotion unknown", "service", b.Service, "server", server, "error", err)
+	b.Log.Warn("outcome of a promotion unknown", "service", b.Service, "server", primary.Server, "error", err)
 	b.Metrics.PromotionsUnknown.Inc(1)
-	b.recordedPrimary = server
+	b.recorded = primary
 	b.promotionUnknown = true
+	b.unsettled, b.unsettledAt = primary.Server, b.Clock()
 	var replies []pendingReply
 	for _, e := range b.waitingForPrimary {
 		replies = append(replies, b.refuse(e, "the outcome of a promotion is unknown")...)
@@ -303,24 +306,20 @@
 	return p.statusAt > b.quiescedAt && t.status.Received.Covers(p.status.Received)
 }
 
-// awaitPrimary waits until a server that was promoted reports that it is primary. A server that already led may have been
-// replaced by a promotion that this VM does not know of; it then leads a later term only after some time.
-func (b *Broker) awaitPrimary(action placement.Action) bool {
+// awaitPrimary waits until a server that was promoted leads the term that the promotion began, or a later one. The platform
+// leaves a server in its term that is the primary already, so a primary of an earlier term is used once the promotion must
+// have taken effect.
+func (b *Broker) awaitPrimary(next RecordedPrimary) bool {
 	accepted := b.Clock()
-	end := accepted + becomePrimaryTimeout
-	notBefore := time.Duration(0)
-	if action.From == action.Promote {
-		notBefore = accepted + promotionEffectTime
-	}
-	for b.Clock() < end {
+	for end := accepted + becomePrimaryTimeout; b.Clock() < end; time.Sleep(pollInterval) {
 		b.mu.Lock()
-		s := b.servers[action.Promote]
-		isPrimary := s != nil && s.reachable && s.status.Primary && s.statusAt >= notBefore
+		s := b.servers[next.Server]
+		isPrimary := s != nil && s.reachable && s.status.Primary &&
+			(s.status.Term >= next.Term || s.statusAt >= accepted+promotionEffectTime)
 		b.mu.Unlock()
 		if isPrimary {
 			return true
 		}
-		time.Sleep(pollInterval)
 	}
 	return false
 }
--- a/internal/broker/replicas_test.go
+++ b/internal/broker/replicas_test.go
@@ -62,7 +62,7 @@
 	b := New(Config{Service: testService, Dialer: f, Lease: &fakeOwner{servers: f}, RateLimiter: limiter,
 		Log: log.New(io.Discard), Metrics: NewMetrics(metrics.NewRegistry()), Domain: "r1", ReplicasOnly: true,
 		Clock:      func() time.Duration { return 10*time.Second + time.Since(start) },
-		LeaseClock: func() time.Duration { return time.Since(start) }}, "")
+		LeaseClock: func() time.Duration { return time.Since(start) }}, RecordedPrimary{})
 	t.Cleanup(b.Close)
 	b.ApplyView(replicaView(func(*directory.Server) {}))
 	known := func() bool {
@@ -264,7 +264,7 @@
 		b := New(Config{Service: testService, Dialer: f, Lease: &fakeOwner{servers: f}, RateLimiter: &countingLimiter{},
 			Log: log.New(io.Discard), Metrics: NewMetrics(metrics.NewRegistry()), Domain: domain, ReplicasOnly: replicasOnly,
 			Clock:      func() time.Duration { return time.Since(start) },
-			LeaseClock: func() time.Duration { return time.Since(start) }}, "")
+			LeaseClock: func() time.Duration { return time.Since(start) }}, RecordedPrimary{})
 		defer b.Close()
 		b.ApplyView(d.View())
 		b.mu.Lock()
--- a/internal/broker/servers.go
+++ b/internal/broker/servers.go
@@ -260,8 +260,8 @@
 
 // group describes the group for the choice of its primary. The mutex must be held.
 func (b *Broker) group(now time.Duration) placement.Group {
-	g := placement.Group{Primary: b.primary, Recorded: b.recordedPrimary, Since: b.ownerSince,
-		ChangedAt: b.primaryChangedAt, TakenOver: b.TakenOver, PromotionUnknown: b.promotionUnknown}
+	g := placement.Group{Primary: b.primary, Recorded: b.recorded.Server, RecordedTerm: b.recorded.Term, Since: b.ownerSince,
+		ChangedAt: b.primaryChangedAt, TakenOver: b.TakenOver, Unsettled: b.unsettled, UnsettledAt: b.unsettledAt}
 	for _, s := range b.servers {
 		g.Servers = append(g.Servers, placement.Candidate{
 			ID: s.ID, Usable: s.usable, Heard: s.statusKnown, Reachable: s.reachable, SilentFor: now - s.respondedAt,
--- a/internal/broker/types.go
+++ b/internal/broker/types.go
@@ -140,9 +140,16 @@
 	Valid(service string) bool
 	// Promote records a server as the primary and promotes it. It returns once the platform has accepted the
 	// promotion. After an error that does not wrap ErrNotPromoted, the promotion may still take effect at any time.
-	Promote(ctx context.Context, service, server string) error
+	Promote(ctx context.Context, service string, primary RecordedPrimary) error
 	// RecordPrimary records a server that is already the primary.
-	RecordPrimary(ctx context.Context, service, server string) error
+	RecordPrimary(ctx context.Context, service string, primary RecordedPrimary) error
+}
+
+// RecordedPrimary is the primary of a service according to its owner record. Server is empty before the first change.
+type RecordedPrimary struct {
+	Server string
+	// Term is the term from which on the server leads.
+	Term uint64
 }
 
 // ErrNotPromoted means that a promotion has no effect, neither now nor later.
--- a/internal/directory/types.go
+++ b/internal/directory/types.go
@@ -121,6 +121,9 @@
 	HandedOver bool `cbor:"5,keyasint,omitzero"`
 	// Primary is the server that an owner has promoted or is about to promote; empty before the first change.
 	Primary string `cbor:"6,keyasint,omitzero"`
+	// PrimaryTerm is the term from which on Primary leads. In an earlier term it is a former primary that has not
+	// learned of its successor, and the promotion has not taken effect.
+	PrimaryTerm uint64 `cbor:"7,keyasint,omitzero"`
 }
 
 // Entry is one object of the store. Exactly one of the pointers is set, or none if the object could not be
--- a/internal/entryvm/ownership.go
+++ b/internal/entryvm/ownership.go
@@ -212,12 +212,12 @@
 			continue
 		}
 		o.d.log.Info("ownership started", "service", service, "epoch", record.Epoch, "priors", len(record.Predecessors),
-			"primary", record.Primary)
+			"primary", record.Primary, "term", record.PrimaryTerm)
 		o.broadcast.Store(true) // callers on all VMs wait for the new owner
 		o.leases[service] = lease.New(o.d.bootClock(), record.OwnerRecord)
 		config := o.d.brokerConfig(service)
 		config.TakenOver = len(record.Predecessors) > 0 && !record.HandedOver
-		o.brokers[service] = broker.New(config, record.Primary)
+		o.brokers[service] = broker.New(config, broker.RecordedPrimary{Server: record.Primary, Term: record.PrimaryTerm})
 		update = append(update, o.brokers[service])
 	}
 	if serving {
--- a/internal/entryvm/ownership_test.go
+++ b/internal/entryvm/ownership_test.go
@@ -27,9 +27,9 @@
 	return false
 }
 
-func (blockingLease) Promote(context.Context, string, string) error { return nil }
+func (blockingLease) Promote(context.Context, string, broker.RecordedPrimary) error { return nil }
 
-func (blockingLease) RecordPrimary(context.Context, string, string) error { return nil }
+func (blockingLease) RecordPrimary(context.Context, string, broker.RecordedPrimary) error { return nil }
 
 // Guards against a deadlock when an owner record changes while a broker checks its lease: each side held its own
 // mutex and waited for the other's.
@@ -40,7 +40,7 @@
 	h := blockingLease{asked: make(chan struct{}), proceed: make(chan struct{})}
 	b := broker.New(broker.Config{
 		Service: "ledger", Lease: h, Log: logger, Metrics: broker.NewMetrics(registry), Clock: d.clock, LeaseClock: d.bootClock,
-	}, "")
+	}, broker.RecordedPrimary{})
 	defer b.Close()
 	d.ownership.draining = []*broker.Broker{b}
 	<-h.asked
--- a/internal/entryvm/preference.go
+++ b/internal/entryvm/preference.go
@@ -105,7 +105,8 @@
 // nextRecord returns the owner record that succeeds another one. Predecessors that have ended are dropped.
 func nextRecord(record directory.OwnerRecord, service string, holder directory.RunID,
 	ended func(directory.RunID) bool) directory.OwnerRecord {
-	next := directory.OwnerRecord{Service: service, Epoch: record.Epoch + 1, Holder: holder, Primary: record.Primary}
+	next := directory.OwnerRecord{Service: service, Epoch: record.Epoch + 1, Holder: holder, Primary: record.Primary,
+		PrimaryTerm: record.PrimaryTerm}
 	for _, run := range append(slices.Clone(record.Predecessors), record.Holder) {
 		if run != (directory.RunID{}) && run != holder && !ended(run) && !slices.Contains(next.Predecessors, run) {
 			next.Predecessors = append(next.Predecessors, run)
--- a/internal/entryvm/promote.go
+++ b/internal/entryvm/promote.go
@@ -33,27 +33,27 @@
 func notPromoted(err error) error { return fmt.Errorf("%w: %w", broker.ErrNotPromoted, err) }
 
 // Promote records a server as the primary of a service and promotes it.
-func (o *ownership) Promote(ctx context.Context, service, server string) error {
-	if err := o.RecordPrimary(ctx, service, server); err != nil {
+func (o *ownership) Promote(ctx context.Context, service string, primary broker.RecordedPrimary) error {
+	if err := o.RecordPrimary(ctx, service, primary); err != nil {
 		return notPromoted(err)
 	}
 	if !o.Valid(service) {
 		return notPromoted(fmt.Errorf("the lease of service %q has ended", service))
 	}
-	return o.requestPromotion(ctx, service, server)
+	return o.requestPromotion(ctx, service, primary.Server)
 }
 
 // RecordPrimary records a server as the primary of a service.
-func (o *ownership) RecordPrimary(ctx context.Context, service, server string) error {
+func (o *ownership) RecordPrimary(ctx context.Context, service string, primary broker.RecordedPrimary) error {
 	record, ok := o.d.directory.View().OwnerRecords[service]
 	if !ok || record.Holder != o.d.self.RunID() {
 		return fmt.Errorf("service %q is owned by another VM", service)
 	}
-	if record.Primary == server {
+	if record.Primary == primary.Server && record.PrimaryTerm == primary.Term {
 		return nil
 	}
 	next := record.OwnerRecord
-	next.Primary = server
+	next.Primary, next.PrimaryTerm = primary.Server, primary.Term
 	return o.writeRecord(ctx, next, record.Revision)
 }
 
--- a/internal/entryvm/replicas.go
+++ b/internal/entryvm/replicas.go
@@ -52,11 +52,11 @@
 
 func (noLease) Valid(string) bool { return true }
 
-func (noLease) Promote(context.Context, string, string) error {
+func (noLease) Promote(context.Context, string, broker.RecordedPrimary) error {
 	return errors.New("a reader of replicas does not promote servers")
 }
 
-func (noLease) RecordPrimary(context.Context, string, string) error {
+func (noLease) RecordPrimary(context.Context, string, broker.RecordedPrimary) error {
 	return errors.New("a reader of replicas does not record primaries")
 }
 
@@ -75,7 +75,7 @@
 		config.Lease = noLease{}
 		// Positions must not seem more recent than they are after this VM was suspended.
 		config.Clock = r.d.bootClock
-		reader = &replicaReader{Broker: broker.New(config, "")}
+		reader = &replicaReader{Broker: broker.New(config, broker.RecordedPrimary{})}
 		reader.ApplyView(v)
 		r.byService[service] = reader
 		r.d.log.Info("serving reads at replicas", "service", service, "domain", r.d.self.Domain)
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -275,7 +275,8 @@
 // against a server that takes the role before the unknown promotion of another one has settled.
 func TestPromotionsAreSpaced(t *testing.T) {
 	is := is.New(t)
-	g := Group{Recorded: "r1", Since: time.Second, ChangedAt: time.Minute, Servers: candidates(), PromotionUnknown: true}
+	g := Group{Recorded: "r1", Since: time.Second, ChangedAt: time.Minute, Servers: candidates(),
+		Unsettled: "r1", UnsettledAt: time.Minute}
 	is.Equal(NextAction(time.Minute+promotionRetryInterval-ms(1), g), Action{})
 	again := NextAction(time.Minute+promotionRetryInterval, g)
 	is.Equal(again.Promote, "r1")
@@ -285,6 +286,11 @@
 	g.Servers[1].SilentFor = primaryTimeout
 	is.Equal(NextAction(time.Minute+promotionSettleTime-ms(1), g), Action{})
 	is.Equal(NextAction(time.Minute+promotionSettleTime, g).Promote, "r2")
+
+	// r1 leads meanwhile and fails, but one of several requests to promote it may still be on its way.
+	g.Primary, g.ChangedAt = "r1", time.Minute-failoverCooldown
+	is.Equal(NextAction(time.Minute+promotionSettleTime-ms(1), g), Action{})
+	is.Equal(NextAction(time.Minute+promotionSettleTime, g).Promote, "r2")
 }
 
 // Guards against a group without a primary for ever: a former owner had sent the primary the order to step down, which
--- a/internal/placement/succession.go
+++ b/internal/placement/succession.go
@@ -46,14 +46,18 @@
 
 // Group is the state of a database group from which the next action is derived.
 type Group struct {
-	Primary   string        // empty if not known
-	Recorded  string        // primary according to the owner record; empty before the first change
-	Since     time.Duration // start of this ownership
-	ChangedAt time.Duration // last change of the primary by this owner; 0 if none
-	TakenOver bool          // the previous owner has failed
-	// PromotionUnknown is set if the promotion of the recorded primary may still take effect.
-	PromotionUnknown bool
-	Servers          []Candidate
+	Primary  string // empty if not known
+	Recorded string // primary according to the owner record; empty before the first change
+	// RecordedTerm is the term from which on the recorded primary leads.
+	RecordedTerm uint64
+	Since        time.Duration // start of this ownership
+	ChangedAt    time.Duration // last change of the primary by this owner; 0 if none
+	TakenOver    bool          // the previous owner has failed
+	// Unsettled is the server whose promotion was not answered the last time, at UnsettledAt; empty if there is none. The
+	// request may still take effect, also after the server was promoted by another one and has been replaced.
+	Unsettled   string
+	UnsettledAt time.Duration
+	Servers     []Candidate
 }
 
 // Action is the next action for a group.
@@ -62,6 +66,8 @@
 	Follow string
 	// Promote names the server to be promoted.
 	Promote string
+	// Term is the term from which on the promoted server leads.
+	Term uint64
 	// From is the server that leads before the promotion, as far as known.
 	From string
 	// Planned is set if the server that leads still responds and can step down first.
@@ -85,7 +91,7 @@
 		}
 		if current.DemotedFor >= demotedTimeout && reportedPrimary(g).ID == "" && now-g.ChangedAt >= promotionRetryInterval {
 			// A former owner has made it step down, and its promotion did not follow. It has the most advanced log.
-			return Action{Promote: g.Primary, Reason: "the primary has stepped down and no server leads"}
+			return Action{Promote: g.Primary, Term: nextTerm(g), Reason: "the primary has stepped down and no server leads"}
 		}
 	}
 	healthy := listed && current.Usable && current.SilentFor < primaryTimeout
@@ -93,10 +99,10 @@
 		return Action{}
 	}
 	target, ok := successor(g)
-	if !ok {
+	if !ok || !settled(now, g, target.ID) {
 		return Action{}
 	}
-	action := Action{Promote: target.ID, From: g.Primary, Planned: listed && current.Reachable && current.SilentFor < plannedTimeout,
+	action := Action{Promote: target.ID, Term: nextTerm(g), From: g.Primary, Planned: listed && current.Reachable && current.SilentFor < plannedTimeout,
 		Reason: "the primary does not answer"}
 	if !listed || !current.Usable {
 		action.Reason = "the primary is leaving or in a withdrawn failure domain"
@@ -113,7 +119,7 @@
 	switch {
 	case g.Recorded == "" && leader.ID != "":
 		return Action{Follow: leader.ID, Reason: "reports to lead the latest term"}
-	case recorded.Reachable && recorded.Primary:
+	case recorded.Reachable && leader.ID == g.Recorded && leader.Term >= g.RecordedTerm:
 		return Action{Follow: g.Recorded, Reason: "recorded primary"}
 	case g.ChangedAt > 0 && now-g.ChangedAt < promotionRetryInterval:
 		return Action{}
@@ -122,20 +128,35 @@
 			return Action{}
 		}
 		// A previous owner may have ended before its promotion took effect.
-		return Action{Promote: g.Recorded, Planned: leader.ID != "", From: leader.ID, Reason: "recorded primary does not lead"}
+		return Action{Promote: g.Recorded, Term: nextTerm(g), Planned: leader.ID != "" && leader.ID != g.Recorded, From: leader.ID,
+			Reason: "recorded primary does not lead"}
 	case waited < discoveryTime && (waited < takeoverTime || !onlyPrimarySilent(g)):
 		return Action{}
-	case g.Recorded != "" && (leader.ID != "" || g.PromotionUnknown) && now-max(g.Since, g.ChangedAt) < promotionSettleTime:
+	case g.Recorded != "" && leader.ID != "" && now-max(g.Since, g.ChangedAt) < promotionSettleTime:
 		return Action{}
 	}
 	target, ok := successor(g)
-	if !ok {
+	if !ok || !settled(now, g, target.ID) {
 		return Action{}
 	}
-	return Action{Promote: target.ID, Planned: leader.ID != "" && leader.ID != target.ID, From: leader.ID,
+	return Action{Promote: target.ID, Term: nextTerm(g), Planned: leader.ID != "" && leader.ID != target.ID, From: leader.ID,
 		Reason: "no primary answers"}
 }
 
+// settled reports whether a server may be promoted: no promotion of another one may still take effect after it.
+func settled(now time.Duration, g Group, server string) bool {
+	return g.Unsettled == "" || g.Unsettled == server || now-g.UnsettledAt >= promotionSettleTime
+}
+
+// nextTerm returns the term that a promotion begins at the earliest.
+func nextTerm(g Group) uint64 {
+	var latest uint64
+	for _, s := range g.Servers {
+		latest = max(latest, s.Term)
+	}
+	return latest + 1
+}
+
 // onlyPrimarySilent reports whether the previous owner has failed and all servers but one respond as replicas. The one
 // that does not respond is then the primary, and this VM is not cut off from the group.
 func onlyPrimarySilent(g Group) bool {
