Pass on the term of a recorded primary in messages between VMs

Change: another number. Evidence: TestMessagesKeepTheirContent with all fields of the records and of the new messages; it failed before.

--- a/internal/directory/types.go
+++ b/internal/directory/types.go
@@ -123,7 +123,7 @@
 	Primary string `cbor:"6,keyasint,omitzero"`
 	// PrimaryTerm is the term from which on Primary leads. In an earlier term it is a former primary that has not
 	// learned of its successor, and the promotion has not taken effect.
-	PrimaryTerm uint64 `cbor:"7,keyasint,omitzero"`
+	PrimaryTerm uint64 `cbor:"8,keyasint,omitzero"` // 7 is the revision of an OwnerRecordEntry
 }
 
 // Entry is one object of the store. Exactly one of the pointers is set, or none if the object could not be
--- a/internal/peer/link_test.go
+++ b/internal/peer/link_test.go
@@ -33,7 +33,8 @@
 // are not valid UTF-8.
 func TestMessagesKeepTheirContent(t *testing.T) {
 	run := directory.RunID{Name: "vm", Incarnation: 1 << 63}
-	record := directory.OwnerRecord{Service: "s", Epoch: 7, Holder: run, Predecessors: []directory.RunID{run}, HandedOver: true, Primary: "i-1"}
+	record := directory.OwnerRecord{Service: "s", Epoch: 7, Holder: run, Predecessors: []directory.RunID{run}, HandedOver: true, Primary: "i-1",
+		PrimaryTerm: 4}
 	vm := directory.VM{Name: "vm", Incarnation: 1 << 63, Address: "10.0.0.1:1", Domain: "d", Cores: 0.192, Leaving: true}
 	counts := [directory.KindCount]uint64{1, 2, 3, 1 << 40}
 	for _, m := range []Message{
@@ -55,9 +56,11 @@
 		{Seq: 3, IsResponse: true, PositionReport: &broker.PositionReport{Position: session.Position{Term: 1, Offset: 2}, Age: time.Second,
 			Replicas: map[string]broker.ReplicaStatus{"i": {Applied: session.Position{Term: 1, Offset: 1}, Lag: 60}}, Known: true}},
 		{Seq: 1, IsResponse: true, Result: &broker.Result{Stream: 1, NotOwner: true, Admitted: true}},
-		{Promote: &Promote{Service: "s", Server: "i"}},
-		{PromoteResult: &PromoteResult{Error: "e"}},
-		{TokenRequest: &TokenRequest{Workspace: "w", Count: 3, IsAllocator: true}},
+		{Promote: &Promote{Service: "s", Server: "i", Attempt: 1 << 63}},
+		{PromoteResult: &PromoteResult{Error: "e", NotPromoted: true}},
+		{PromotionConfirm: &PromotionConfirm{Attempt: 1 << 63, Wanted: true}},
+		{TokenRequest: &TokenRequest{Workspace: "w", Count: 3, IsAllocator: true, VM: "vm", Outage: time.Hour, Spent: 2, Forward: true}},
+		{Release: &Release{Service: "s", Tokens: map[string]float64{"w": -0.5}}},
 		{Changes: &directory.Listing{Kind: directory.Fleet, Since: 4, Revision: 9, Entries: []directory.Entry{
 			{Name: "main", Revision: 1, Configuration: &directory.Configuration{
 				Version: 3, TxIdleTimeout: time.Second, Keys: map[string]string{"k": "w"},
