--- a/review/stage-2/main.go
+++ b/review/stage-2/main.go
@@ -18,6 +18,7 @@
 // cases maps the names of the scripts to what they play. trouble is false with TROUBLE=0.
 var cases = map[string]func(r *record, root string, trouble bool) (brokenRule bool, err error){
 	"lost-at-sigterm": lostAtSIGTERM,
+	"open-at-sigterm": openAtSIGTERM,
 }
 
 func main() { os.Exit(play()) }
