--- a/review/stage-2/main.go
+++ b/review/stage-2/main.go
@@ -19,6 +19,7 @@
 var cases = map[string]func(r *record, root string, trouble bool) (brokenRule bool, err error){
 	"lost-at-sigterm": lostAtSIGTERM,
 	"open-at-sigterm": openAtSIGTERM,
+	"sync-lost":       syncLost,
 }
 
 func main() { os.Exit(play()) }
