--- a/review/stage-2/deployment.go
+++ b/review/stage-2/deployment.go
@@ -90,10 +90,38 @@
 	ln      net.Listener
 	mu      sync.Mutex
 	reached map[string]time.Time // by the id of the statement
+	cut     chan struct{}        // closed at the end of a cut; nil if there is none
 }
 
-// newDeployment starts the stand-ins.
-func newDeployment(r *record, root string, serviceTime time.Duration) (*deployment, error) {
+// hold stops what passes between the server and the VMs, both ways, until the returned function is called.
+func (w *watchedServer) hold() (release func()) {
+	ended := make(chan struct{})
+	w.mu.Lock()
+	w.cut = ended
+	w.mu.Unlock()
+	return func() {
+		w.mu.Lock()
+		w.cut = nil
+		w.mu.Unlock()
+		close(ended)
+	}
+}
+
+// pass waits for the end of a cut.
+func (w *watchedServer) pass() {
+	w.mu.Lock()
+	cut := w.cut
+	w.mu.Unlock()
+	if cut != nil {
+		<-cut
+	}
+}
+
+// newDeployment starts the stand-ins. The first of the given zones has the primary.
+func newDeployment(r *record, root string, serviceTime time.Duration, serverZones ...string) (*deployment, error) {
+	if serverZones == nil {
+		serverZones = zones[:3]
+	}
 	dir, err := os.MkdirTemp("", "stage-2-")
 	if err != nil {
 		return nil, err
@@ -110,7 +138,7 @@
 	d.group.Continues = time.Second
 	d.store.OnPromote(func(_, id string) bool { return d.group.Promote(id) })
 	d.store.Put("config", "main", configuration())
-	for i, zone := range zones[:3] {
+	for i, zone := range serverZones {
 		s, err := d.group.Add(fmt.Sprintf("i-%d", i), zone)
 		if err != nil {
 			return nil, err
@@ -161,18 +189,32 @@
 // relay passes a connection on line by line and records the statements of callers.
 func (w *watchedServer) relay(r *record, from net.Conn) {
 	defer from.Close()
+	w.pass()
 	to, err := net.Dial("tcp", w.Address())
 	if err != nil {
 		return
 	}
 	defer to.Close()
 	go func() {
-		_, _ = io.Copy(from, to)
-		_ = from.Close()
+		defer from.Close()
+		buffer := make([]byte, 32<<10)
+		for {
+			n, err := to.Read(buffer)
+			w.pass()
+			if n > 0 {
+				if _, err := from.Write(buffer[:n]); err != nil {
+					return
+				}
+			}
+			if err != nil {
+				return
+			}
+		}
 	}()
 	lines := bufio.NewReader(from)
 	for {
 		line, err := lines.ReadString('\n')
+		w.pass()
 		if err != nil {
 			return
 		}
--- a/review/stage-2/main.go
+++ b/review/stage-2/main.go
@@ -20,6 +20,7 @@
 	"lost-at-sigterm": lostAtSIGTERM,
 	"open-at-sigterm": openAtSIGTERM,
 	"sync-lost":       syncLost,
+	"returned-owner":  returnedOwner,
 }
 
 func main() { os.Exit(play()) }
