entryvm: a broker keeps to the ownership that it was made for

Cause: a broker asked whether its VM holds the lease of the service, by name. A VM that handed a service over keeps the broker for open transactions, for 0.7 s. When it owned the service again, the lease of the second ownership let the broker of the first one go on without limit, beside the new broker, whose fence and waits cover its own connections only.

Change: a broker gets the lease of one ownership (ownershipLease), compared by identity. Its promotions, and the confirmation that the promotion coordinator asks for, are judged the same way. A statement of a transaction whose ownership has ended is answered with ABORTED and not sent.

The broker's other questions were ruled out: token buckets, the duty to promote and the usage report compare epochs.

--- a/internal/entryvm/daemon.go
+++ b/internal/entryvm/daemon.go
@@ -118,9 +118,10 @@
 	return time.Duration(ts.Nano())
 }
 
+// brokerConfig returns the configuration of a broker without its lease.
 func (d *Daemon) brokerConfig(service string) broker.Config {
 	c := broker.Config{
-		Service: service, Dialer: d.deps.Dialer, Lease: d.ownership, RateLimiter: d.rateLimiter,
+		Service: service, Dialer: d.deps.Dialer, RateLimiter: d.rateLimiter,
 		Log: d.log, Metrics: d.metrics, Clock: d.clock, LeaseClock: d.bootClock, Domain: d.self.Domain,
 		Regions: d.settings.Load().Regions,
 	}
--- a/internal/entryvm/era_test.go
+++ b/internal/entryvm/era_test.go
@@ -225,7 +225,7 @@
 		o.recordAck(name, d.bootClock(), []string{"ledger"})
 	}
 	is.True(o.leases["ledger"].ValidUntil(o.voters()) > 0)
-	is.NoErr(o.RecordPrimary(t.Context(), "ledger", broker.RecordedPrimary{Server: "x", Term: 3}))
+	is.NoErr(ownershipLease{o, o.leaseOf("ledger")}.RecordPrimary(t.Context(), "ledger", broker.RecordedPrimary{Server: "x", Term: 3}))
 	is.True(s.stored.OwnerRecord.LostPredecessors)
 	is.True(!o.Valid("ledger"))
 	o.handOverTo(t.Context(), d.directory.View().OwnerRecords["ledger"], directory.VM{Name: "b", Incarnation: 1})
--- a/internal/entryvm/ownership.go
+++ b/internal/entryvm/ownership.go
@@ -150,6 +150,19 @@
 	return held != nil && held.Valid(now, o.voters(), o.ended)
 }
 
+// validLease reports whether this VM may act under a lease, which is that of its present ownership.
+func (o *ownership) validLease(held *lease.Lease) bool {
+	now, voters := o.d.bootClock(), o.voters()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.validLeaseLocked(now, voters, held)
+}
+
+// validLeaseLocked is validLease with the mutex held.
+func (o *ownership) validLeaseLocked(now time.Duration, voters []string, held *lease.Lease) bool {
+	return o.leases[held.Record.Service] == held && held.Valid(now, voters, o.ended)
+}
+
 // allocation returns the ownership of a service whose lease is valid, for the allocation of tokens: its first epoch, its
 // start, and the share of the VMs that admit requests and can reach this VM, as far as they are voters. reached returns
 // when a VM got tokens from this one.
@@ -234,8 +247,10 @@
 		o.d.log.Info("ownership started", "service", service, "epoch", record.Epoch, "priors", len(record.Predecessors),
 			"primary", record.Primary, "term", record.PrimaryTerm)
 		o.broadcast.Store(true) // callers on all VMs wait for the new owner
-		o.leases[service] = lease.New(o.d.bootClock(), record.OwnerRecord)
+		held = lease.New(o.d.bootClock(), record.OwnerRecord)
+		o.leases[service] = held
 		config := o.d.brokerConfig(service)
+		config.Lease = ownershipLease{o, held}
 		config.TakenOver = len(record.Predecessors) > 0 && !record.HandedOver
 		config.HandedOver = record.HandedOver
 		o.brokers[service] = broker.New(config, broker.RecordedPrimary{Server: record.Primary, Term: record.PrimaryTerm})
--- a/internal/entryvm/promote.go
+++ b/internal/entryvm/promote.go
@@ -9,6 +9,7 @@
 
 	"siskinrouter/internal/broker"
 	"siskinrouter/internal/directory"
+	"siskinrouter/internal/lease"
 	"siskinrouter/internal/peer"
 )
 
@@ -23,7 +24,7 @@
 
 // promotionAttempt is a promotion that this VM has requested from the promotion coordinator.
 type promotionAttempt struct {
-	service string
+	held *lease.Lease // of the ownership that wants it
 	// confirmed is set once the coordinator was told to execute it. From then on its effect is unknown until the
 	// coordinator responds.
 	confirmed bool
@@ -32,23 +33,40 @@
 // notPromoted wraps an error after which a promotion has no effect.
 func notPromoted(err error) error { return fmt.Errorf("%w: %w", broker.ErrNotPromoted, err) }
 
-// Promote records a server as the primary of a service and promotes it.
-func (o *ownership) Promote(ctx context.Context, service string, primary broker.RecordedPrimary) error {
-	if err := o.RecordPrimary(ctx, service, primary); err != nil {
+// ownershipLease is the lease of a broker. It belongs to one ownership: if this VM owns the service again later, that is
+// another ownership with a broker of its own, which knows nothing of the transactions and promotions of this one.
+type ownershipLease struct {
+	o    *ownership
+	held *lease.Lease
+}
+
+// Valid implements broker.Lease.
+func (l ownershipLease) Valid(string) bool { return l.o.validLease(l.held) }
+
+// Promote implements broker.Lease.
+func (l ownershipLease) Promote(ctx context.Context, service string, primary broker.RecordedPrimary) error {
+	if err := l.RecordPrimary(ctx, service, primary); err != nil {
 		return notPromoted(err)
 	}
-	if !o.Valid(service) {
+	if !l.Valid(service) {
 		return notPromoted(fmt.Errorf("the lease of service %q has ended", service))
 	}
-	return o.requestPromotion(ctx, service, primary.Server)
+	return l.o.requestPromotion(ctx, l.held, service, primary.Server)
 }
 
-// RecordPrimary records a server as the primary of a service.
-func (o *ownership) RecordPrimary(ctx context.Context, service string, primary broker.RecordedPrimary) error {
+// RecordPrimary implements broker.Lease.
+func (l ownershipLease) RecordPrimary(ctx context.Context, service string, primary broker.RecordedPrimary) error {
+	o := l.o
 	record, ok := o.d.directory.View().OwnerRecords[service]
 	if !ok || record.Holder != o.d.self.RunID() {
 		return fmt.Errorf("service %q is owned by another VM", service)
 	}
+	o.mu.Lock()
+	current := o.leases[service] == l.held && record.Epoch == l.held.Record.Epoch
+	o.mu.Unlock()
+	if !current {
+		return fmt.Errorf("this ownership of service %q has ended", service)
+	}
 	if o.d.directory.View().Outdated(record.OwnerRecord) {
 		return fmt.Errorf("the record of service %q has to be written again first", service)
 	}
@@ -67,7 +85,7 @@
 }
 
 // requestPromotion asks the promotion coordinator to promote a server.
-func (o *ownership) requestPromotion(ctx context.Context, service, server string) error {
+func (o *ownership) requestPromotion(ctx context.Context, held *lease.Lease, service, server string) error {
 	coordinator, ok := coordinatorRecord(o.d.directory.View())
 	if !ok {
 		return notPromoted(errors.New("there is no promotion coordinator"))
@@ -76,7 +94,7 @@
 		ctx, cancel := context.WithTimeout(ctx, executionTimeout)
 		defer cancel()
 		return o.executePromotion(ctx, service, server, func(context.Context) error {
-			if !o.Valid(service) {
+			if !o.validLease(held) {
 				return fmt.Errorf("the lease of service %q has ended", service)
 			}
 			return nil
@@ -86,7 +104,7 @@
 	if l == nil {
 		return notPromoted(errors.New("the promotion coordinator cannot be reached"))
 	}
-	attempt := o.beginPromotion(service)
+	attempt := o.beginPromotion(held)
 	m, err := l.Call(peer.Message{Promote: &peer.Promote{Service: service, Server: server, Attempt: attempt}}, promotionTimeout)
 	confirmed := o.endPromotion(attempt)
 	switch {
@@ -106,11 +124,11 @@
 }
 
 // beginPromotion registers a request to the promotion coordinator and returns its id.
-func (o *ownership) beginPromotion(service string) uint64 {
+func (o *ownership) beginPromotion(held *lease.Lease) uint64 {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	id := rand.Uint64()
-	o.promotions[id] = &promotionAttempt{service: service}
+	o.promotions[id] = &promotionAttempt{held: held}
 	return id
 }
 
@@ -123,17 +141,13 @@
 	return confirmed
 }
 
-// confirmPromotion reports whether this VM still waits for a promotion and owns the service.
+// confirmPromotion reports whether this VM still waits for a promotion, under the ownership that wants it.
 func (o *ownership) confirmPromotion(id uint64) bool {
 	now, voters := o.d.bootClock(), o.voters()
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	attempt := o.promotions[id]
-	if attempt == nil {
-		return false
-	}
-	held := o.leases[attempt.service]
-	if held == nil || !held.Valid(now, voters, o.ended) {
+	if attempt == nil || !o.validLeaseLocked(now, voters, attempt.held) {
 		return false
 	}
 	attempt.confirmed = true
--- a/internal/entryvm/promote_test.go
+++ b/internal/entryvm/promote_test.go
@@ -33,15 +33,15 @@
 		}
 	}
 	grant()
-	given := o.beginPromotion("ledger")
+	given := o.beginPromotion(o.leaseOf("ledger"))
 	is.True(!o.endPromotion(given))
 	is.True(!o.confirmPromotion(given)) // given up
 
-	held := o.beginPromotion("ledger")
+	held := o.beginPromotion(o.leaseOf("ledger"))
 	is.True(o.confirmPromotion(held))
 	is.True(o.endPromotion(held)) // may have been executed
 
-	lost := o.beginPromotion("ledger")
+	lost := o.beginPromotion(o.leaseOf("ledger"))
 	o.mu.Lock()
 	delete(o.leases, "ledger")
 	o.mu.Unlock()
