lease: grants to a former ownership of the same VM do not count

An acknowledgment of a renewal names the VM and the services. One that a former ownership had asked for counted for the next ownership of the same VM, although the voter may have promised to the owner in between. No order of events was found in which two leases were valid because of it, as a new owner waits for its predecessor's reads; callers saw nothing. Grants for renewals sent before the ownership began are now ignored.

Evidence: TestGrantOfFormerOwnershipDoesNotCount fails before (valid until 1.45 s instead of never). TestIsolatedOwnersSaySo acknowledged renewals from before its ownership began; its ownership now begins earlier, its checks are unchanged.

--- a/internal/entryvm/isolation_test.go
+++ b/internal/entryvm/isolation_test.go
@@ -67,6 +67,7 @@
 		return o.lostAll(d.bootClock(), o.voters())
 	}
 	is.True(!lost())
+	o.leases["ledger"].Since -= lease.TTL // the ownership began before the renewals that were acknowledged
 	o.recordAck("a", d.bootClock()-lease.TTL, []string{"ledger"})
 	o.leases["ledger"].RecordGrant("b", d.bootClock()-lease.TTL)
 	is.True(!o.Valid("ledger"))
--- a/internal/entryvm/renewal.go
+++ b/internal/entryvm/renewal.go
@@ -102,8 +102,8 @@
 // renew sends a renewal of all leases of this VM. Voters receive the owner records; the other VMs only need to know
 // that this run of the VM is alive, unless it has a new lease.
 func (o *ownership) renew(scope renewalScope) {
-	now := o.d.bootClock()
 	o.mu.Lock()
+	now := o.d.bootClock() // with the mutex held, so that no lease in this renewal begins later
 	if len(o.leases) == 0 {
 		o.mu.Unlock()
 		return
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -148,8 +148,12 @@
 	return &Lease{Record: record, Since: now, acked: map[string]time.Duration{}}
 }
 
-// RecordGrant records that a VM acknowledged the renewal sent at the given time.
+// RecordGrant records that a VM acknowledged the renewal sent at the given time. One that was sent before this ownership
+// began asked for a promise to an earlier one.
 func (l *Lease) RecordGrant(vm string, sent time.Duration) {
+	if sent < l.Since {
+		return
+	}
 	l.acked[vm] = max(l.acked[vm], sent)
 }
 
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -466,3 +466,20 @@
 	l.RecordGrant("b", time.Minute+failedTimeout)
 	is.Equal(l.HeardShare(time.Minute+failedTimeout, members, none, never), 1.0)
 }
+
+// Guards against an owner that counts promises to a former ownership of the same VM: the voter may have promised to the owner
+// in between meanwhile.
+func TestGrantOfFormerOwnershipDoesNotCount(t *testing.T) {
+	is := is.New(t)
+	members := []string{"a", "b", "c"}
+	l := New(600*time.Millisecond, directory.OwnerRecord{Service: "ledger", Epoch: 7})
+	for _, name := range members {
+		l.RecordGrant(name, 500*time.Millisecond) // of a renewal with epoch 5
+	}
+	is.Equal(l.ValidUntil(members), time.Duration(0))
+	is.True(!l.Valid(610*time.Millisecond, members, noneEnded))
+	for _, name := range members {
+		l.RecordGrant(name, 600*time.Millisecond)
+	}
+	is.True(l.Valid(610*time.Millisecond, members, noneEnded))
+}
