placement, broker: a successor has all commits that a synchronous replica acknowledged

Cause: sync_replicas is a promise to callers, and the choice of a successor never asked about it. It took the most advanced log of the servers that may be used. A planned change promoted after 0.7 s whether the log had been received or not.

Change: a promotion needs a proof that the server has all acknowledged commits (placement.Group.MayPromote): its log reaches the latest position that an owner has acknowledged, or it is the most advanced of so many logs that each acknowledged commit is in one of them. The broker keeps track of both, the directory of servers that left the listing. The proof is asked for at the decision and again behind the fence. Without it, statements that need the primary are refused at once. Nothing is checked with sync_replicas 0.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -94,6 +94,7 @@
 	// byReport counts the choices that reports of other VMs changed since reportLoggedAt.
 	byReport       int
 	reportLoggedAt time.Duration
+	durable        durability
 	closed         bool
 	graceEnd       time.Duration // until when a closed broker may finish transactions, on LeaseClock
 	done           chan struct{}
@@ -331,6 +332,9 @@
 			b.waitingForPrimary = append(b.waitingForPrimary, e)
 			return nil, nil
 		}
+		if b.durable.held {
+			return nil, b.refuse(e, placement.NoSafeSuccessor)
+		}
 		if b.promotionUnknown {
 			return nil, b.refuse(e, "the outcome of a promotion is unknown")
 		}
@@ -381,7 +385,7 @@
 	if b.ReplicasOnly {
 		return false
 	}
-	if b.promotionUnknown {
+	if b.promotionUnknown || b.durable.held {
 		return false
 	}
 	if b.changingPrimary || b.primary == "" {
--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -22,19 +22,21 @@
 
 // fakeServers is a group of in-memory servers.
 type fakeServers struct {
-	mu          sync.Mutex
-	primary     string
-	term        uint64
-	offset      uint64
-	serviceTime time.Duration
-	busy        map[string]int // running statements by server
-	maxBusy     map[string]int // maximum number of concurrent statements by server
-	open        map[string]int
-	dials       int
-	dialTime    time.Duration // time to open a connection
-	full        bool          // no connection of a workspace is accepted
-	runs        []run
-	inject      func(server string, c statement.Command) (code statement.Code, breaks bool)
+	mu           sync.Mutex
+	primary      string
+	term         uint64
+	offset       uint64
+	serviceTime  time.Duration
+	busy         map[string]int // running statements by server
+	maxBusy      map[string]int // maximum number of concurrent statements by server
+	open         map[string]int
+	dials        int
+	dialTime     time.Duration // time to open a connection
+	full         bool          // no connection of a workspace is accepted
+	syncReplicas int
+	received     map[string]session.Position // of servers that receive nothing
+	runs         []run
+	inject       func(server string, c statement.Command) (code statement.Code, breaks bool)
 }
 
 // run is a statement executed by a server.
@@ -137,6 +139,9 @@
 		if c.server == f.primary {
 			response.Detail = "primary"
 		}
+		if p, deaf := f.received[c.server]; deaf {
+			response.Position = p
+		}
 	case statement.Write:
 		f.offset++
 		response.Position = f.position()
@@ -237,7 +242,7 @@
 	d.Replace(0, servers)
 	d.Replace(0, directory.Listing{Kind: directory.Configurations, Revision: 1, Entries: []directory.Entry{{Name: "main",
 		Revision: 1, Configuration: &directory.Configuration{Version: 1,
-			Services:   map[string]directory.Service{testService: {MaxConnections: connections}},
+			Services:   map[string]directory.Service{testService: {MaxConnections: connections, SyncReplicas: f.syncReplicas}},
 			Workspaces: map[string]directory.Workspace{"ws": {Name: "ws", Rate: 1000}, "other": {Name: "other", Rate: 100}}}}}})
 	b.ApplyView(d.View())
 	end := time.Now().Add(5 * time.Second)
--- a/internal/broker/metrics.go
+++ b/internal/broker/metrics.go
@@ -13,6 +13,8 @@
 	ConnectsReused, ConnectsRefused metrics.Counter
 	// PromotionsUnknown counts the promotions that were neither accepted nor certain to have no effect.
 	PromotionsUnknown metrics.Counter
+	// PromotionsHeld counts how often no server could be promoted because it might lack acknowledged commits.
+	PromotionsHeld metrics.Counter
 	// ReadsUnanswered counts the reads that were given up although their server answered others, ReadsSilent those at
 	// servers that answered nobody.
 	ReadsUnanswered, ReadsSilent metrics.Counter
@@ -31,8 +33,8 @@
 		Failed: counter("broker.failed"), Retries: counter("broker.retries"),
 		Connects: counter("broker.connects"), Promotions: counter("broker.promotions"),
 		ConnectsReused: counter("broker.connects_reused"), ConnectsRefused: counter("broker.connects_refused"),
-		PromotionsUnknown: counter("broker.promotions_unknown"),
-		ReadsUnanswered:   counter("broker.reads_unanswered"), ReadsSilent: counter("broker.reads_silent"),
+		PromotionsUnknown: counter("broker.promotions_unknown"), PromotionsHeld: counter("broker.promotions_held"),
+		ReadsUnanswered: counter("broker.reads_unanswered"), ReadsSilent: counter("broker.reads_silent"),
 		ChosenByReport: counter("broker.chosen_by_report"), LeftByReport: counter("broker.left_by_report"),
 		Latency: metrics.GetOrRegisterHistogram("broker.latency_us", r, metrics.NewUniformSample(latencySamples)),
 	}
--- a/internal/broker/primarychange.go
+++ b/internal/broker/primarychange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math"
 	"time"
 
@@ -69,9 +70,11 @@
 	valid := b.Lease.Valid(b.Service)
 	if valid && b.leaseSince == notYet {
 		b.leaseSince = b.LeaseClock()
+		b.leaseBegan(now)
 	}
 	if !b.changingPrimary && valid && !b.ReplicasOnly {
 		action = placement.NextAction(now, b.group(now))
+		replies = append(replies, b.setHeld(now, action)...)
 	}
 	if action.Follow != "" {
 		start, replies = join(start, replies)(b.usePrimary(now, action))
@@ -105,6 +108,7 @@
 	if s == nil {
 		return nil, nil // the server was removed in the meantime
 	}
+	b.durable.observePrimary(s.statusAt, s.status.Received)
 	b.Log.Info("primary", "service", b.Service, "server", s.ID, "term", s.status.Term, "reason", action.Reason,
 		"position", s.status.Received)
 	if b.primary != s.ID {
@@ -153,23 +157,30 @@
 	b.Log.Info("primary change started", "service", b.Service, "from", action.From, "to", action.Promote,
 		"planned", action.Planned, "reason", action.Reason)
 	b.rerouteFromPrimary()
+	var ready bool
 	if action.Planned {
-		b.quiesce(action.From, action.Promote)
+		ready = b.quiesce(action.From, action.Promote)
 	} else {
 		b.fencePrimary()
 		b.awaitPredecessor()
+		ready = b.awaitDurable(action.Promote)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), promotionTimeout)
 	next := RecordedPrimary{action.Promote, action.Term}
-	err := b.Lease.Promote(ctx, b.Service, next)
-	cancel()
-	replies := b.recordPromotion(next, err)
-	b.startAndReply(nil, replies)
+	err := errNotDurable
+	var replies []pendingReply
+	if ready {
+		ctx, cancel := context.WithTimeout(context.Background(), promotionTimeout)
+		err = b.Lease.Promote(ctx, b.Service, next)
+		cancel()
+		replies = b.recordPromotion(next, err)
+		b.startAndReply(nil, replies)
+	}
 	promoted := err == nil && b.awaitPrimary(next)
 	b.Metrics.Promotions.Inc(1)
 	now := b.Clock()
 	b.mu.Lock()
 	b.changingPrimary = false
+	b.durable.notCaughtUp = action.Planned && !ready
 	b.primaryChangedAt = now
 	b.primary = ""
 	var start []dispatched
@@ -183,6 +194,9 @@
 	b.startAndReply(start, replies)
 }
 
+// errNotDurable means that a server was not promoted because it may lack commits that were acknowledged to callers.
+var errNotDurable = fmt.Errorf("%w: %s", ErrNotPromoted, placement.NoSafeSuccessor)
+
 // recordPromotion records the outcome of a promotion request. If it is unknown, the statements that wait for a primary
 // are refused: neither the old primary nor the new one can be used until the outcome is known.
 func (b *Broker) recordPromotion(primary RecordedPrimary, err error) []pendingReply {
@@ -202,9 +216,13 @@
 	b.recorded = primary
 	b.promotionUnknown = true
 	b.unsettled, b.unsettledAt = primary.Server, b.Clock()
-	var replies []pendingReply
+	return b.refuseWaitingForPrimary("the outcome of a promotion is unknown")
+}
+
+// refuseWaitingForPrimary refuses the statements that wait for a primary. The mutex must be held.
+func (b *Broker) refuseWaitingForPrimary(reason string) (replies []pendingReply) {
 	for _, e := range b.waitingForPrimary {
-		replies = append(replies, b.refuse(e, "the outcome of a promotion is unknown")...)
+		replies = append(replies, b.refuse(e, reason)...)
 	}
 	b.waitingForPrimary = nil
 	return replies
@@ -226,8 +244,8 @@
 }
 
 // quiesce waits for the transactions at the old primary to end and for the new primary to receive its log, then makes
-// the old primary a replica.
-func (b *Broker) quiesce(from, to string) {
+// the old primary a replica. It reports whether the new primary may be promoted; if not, the old one still leads.
+func (b *Broker) quiesce(from, to string) bool {
 	end := b.Clock() + quiesceTime
 	for b.Clock() < end && b.busyAtPrimary() {
 		time.Sleep(pollInterval)
@@ -240,7 +258,7 @@
 	if s == nil || from == to {
 		b.mu.Unlock()
 		b.awaitPredecessor()
-		return
+		return b.awaitDurable(to)
 	}
 	old, term := s.Server, s.status.Term
 	b.mu.Unlock()
@@ -250,8 +268,11 @@
 	for b.Clock() < end && !b.caughtUp(from, to) {
 		time.Sleep(pollInterval)
 	}
+	if !b.awaitDurable(to) {
+		return false
+	}
 	if !b.Lease.Valid(b.Service) {
-		return // the server may be the primary of the next owner
+		return true // the server may be the primary of the next owner, which the promotion will find
 	}
 	response, c, err := b.control(old, nil, statement.Command{Kind: statement.StepDown, Term: term + 1})
 	if c != nil {
@@ -261,6 +282,7 @@
 		b.Log.Warn("step down failed", "service", b.Service, "server", old.ID, "code", response.Code, "error", err)
 		b.awaitPredecessor()
 	}
+	return true
 }
 
 // busyAtPrimary reports whether statements are running or transactions are open at the primary.
--- a/internal/broker/run.go
+++ b/internal/broker/run.go
@@ -188,6 +188,9 @@
 	now := b.Clock()
 	b.mu.Lock()
 	b.endWatch(now, e, c, &o)
+	if e.acknowledges(o) {
+		b.recordAcknowledged(now, c, &o)
+	}
 	start, replies := b.updateServerState(now, c.server, o)
 	if e.conn != nil {
 		c.server.unanswered--
--- a/internal/broker/servers.go
+++ b/internal/broker/servers.go
@@ -47,6 +47,7 @@
 	if b.ReaderRank != nil {
 		b.readerRank = b.ReaderRank(v)
 	}
+	b.durable.syncReplicas, b.durable.departed = service.SyncReplicas, v.Departed[b.Service]
 	b.setConnLimits()
 	for id, s := range b.servers {
 		if _, ok := v.Servers[id]; !ok {
@@ -224,6 +225,9 @@
 	if s.ID == b.primary {
 		return primaryStatusInterval
 	}
+	if p := b.servers[b.primary]; p != nil && p.suspect && b.durable.syncReplicas > 0 {
+		return urgentStatusInterval // the choice of a successor depends on recent positions
+	}
 	return replicaStatusInterval
 }
 
@@ -264,6 +268,9 @@
 		if st.Primary {
 			s.ledAt = now
 		}
+		if st.Primary && s.ID == b.primary {
+			b.durable.observePrimary(sent, st.Received)
+		}
 		if applied.Compare(st.Applied) > 0 && applied.Term == st.Applied.Term {
 			s.status.Applied = applied
 		}
@@ -300,11 +307,13 @@
 // group describes the group for the choice of its primary. The mutex must be held.
 func (b *Broker) group(now time.Duration) placement.Group {
 	g := placement.Group{Primary: b.primary, Recorded: b.recorded.Server, RecordedTerm: b.recorded.Term, Since: b.ownerSince,
-		ChangedAt: b.primaryChangedAt, TakenOver: b.TakenOver, Unsettled: b.unsettled, UnsettledAt: b.unsettledAt}
+		ChangedAt: b.primaryChangedAt, TakenOver: b.TakenOver, Unsettled: b.unsettled, UnsettledAt: b.unsettledAt,
+		Durability: b.durable.placement()}
 	for _, s := range b.servers {
 		g.Servers = append(g.Servers, placement.Candidate{
 			ID: s.ID, Usable: s.usable, Heard: s.statusKnown, Reachable: s.reachable, SilentFor: now - s.respondedAt,
 			Primary: s.status.Primary, Term: s.status.Term, Received: s.status.Received, DemotedFor: now - max(s.ledAt, b.followedAt),
+			Settled: b.settled(s),
 		})
 	}
 	return g
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -26,7 +26,9 @@
 	ServingVersion uint64
 	// Missing holds, for each server that is still in Servers although its entry has disappeared, when that
 	// happened.
-	Missing   map[string]time.Duration
+	Missing map[string]time.Duration
+	// Departed counts, by service, the servers that have disappeared and whose logs no listed server has taken over.
+	Departed  map[string]int
 	Withdrawn map[string]bool // failure domains
 	VMs       map[string]VM
 	// ByCores holds the names of the VMs that are not leaving, in descending order of processor cores. VMs that
@@ -91,6 +93,8 @@
 	// ended holds the runs of VMs whose records were removed.
 	ended   map[RunID]bool
 	missing map[string]missingServer
+	// departed holds the servers that are no longer kept, by id.
+	departed map[string]departedServer
 	// tombstones holds the latest deletions of each kind, in the order in which they were learned.
 	tombstones [KindCount][]Entry
 	// tombstonesSince is, for each kind, the revision after which all deletions are in tombstones.
@@ -122,6 +126,7 @@
 func New() *Directory {
 	d := &Directory{
 		announced: map[string]VM{}, ended: map[RunID]bool{}, missing: map[string]missingServer{},
+		departed:    map[string]departedServer{},
 		keptServers: map[string]keptEntry{}, keptWithdrawals: map[string]time.Duration{},
 		keptVMs: map[string]time.Duration{}, restoredRuns: map[string]RunID{}, listedVMs: map[string]Entry{},
 	}
@@ -345,7 +350,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.expireKept(now)
-	dropped := false
+	dropped := d.expireDeparted(now)
 	for id, m := range d.missing {
 		if now-m.since > MissingServerGrace {
 			delete(d.missing, id)
@@ -430,6 +435,8 @@
 		}
 	case Servers:
 		next.Servers, next.Missing = d.servers(now)
+		d.recordDeparted(now, old.Servers, next.Servers)
+		next.Departed = d.departedByService()
 		next.byService = map[string][]string{}
 		for id, s := range next.Servers {
 			next.byService[s.Service] = append(next.byService[s.Service], id)
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -171,3 +171,28 @@
 		is.Equal(d.View().ByCores, []string{"vm"})
 	}
 }
+
+// Guards against a new owner that takes the listed servers for the whole group: one that crashed may hold acknowledged commits.
+func TestDepartedServersAreCounted(t *testing.T) {
+	is := is.New(t)
+	d := New()
+	list := func(now time.Duration, revision uint64, servers ...Server) int {
+		l := Listing{Kind: Servers, Revision: revision}
+		for _, s := range servers {
+			s.Service = "s"
+			l.Entries = append(l.Entries, Entry{Name: s.ID, Revision: revision, Server: &s})
+		}
+		d.Replace(now, l)
+		d.Expire(now + MissingServerGrace + 1)
+		return d.View().Departed["s"]
+	}
+	a, b := Server{ID: "a", Address: "1"}, Server{ID: "b", Address: "2"}
+	is.Equal(list(0, 1, a, b), 0)
+	is.Equal(list(time.Second, 2, a), 1)
+	is.Equal(list(10*time.Second, 3, a, b), 0)                             // it is back
+	is.Equal(list(20*time.Second, 4, a), 1)                                // it crashes again
+	is.Equal(list(30*time.Second, 5, a, Server{ID: "c", Address: "2"}), 0) // another one has its address and its log
+	is.Equal(list(40*time.Second, 6, a), 1)
+	d.Expire(40*time.Second + 2*departedMemory)
+	is.Equal(d.View().Departed["s"], 0)
+}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -437,3 +437,42 @@
 	g.Servers[1].Primary, g.Servers[1].Term = true, 4
 	is.Equal(NextAction(time.Minute, g).Follow, "r1")
 }
+
+// Guards against a successor without acknowledged commits where the service promises to keep them, and against an outage
+// where it does not or where a server is known to have them.
+func TestSuccessorHasAcknowledgedCommits(t *testing.T) {
+	is := is.New(t)
+	hold := Action{Held: true, Reason: NoSafeSuccessor}
+	for name, c := range map[string]struct {
+		change func(g *Group)
+		want   string // server to be promoted; none if the change is held
+	}{
+		"the better log is in a withdrawn domain":  {func(g *Group) {}, ""},
+		"no synchronous replica":                   {func(g *Group) { g.SyncReplicas = 0 }, "r2"},
+		"nothing acknowledged after the worse log": {func(g *Group) { g.Acknowledged = at(3, 30) }, "r2"},
+		"the better log can be used":               {func(g *Group) { g.Servers[1].Usable = true }, "r1"},
+		"logs compared by a new owner":             {func(g *Group) { g.Servers[1].Usable, g.AcknowledgedKnown = true, false }, "r1"},
+		"a log is not known":                       {func(g *Group) { g.Servers[1].Settled, g.AcknowledgedKnown = false, false }, ""},
+		"a log left the listing":                   {func(g *Group) { g.Servers[1].Usable, g.AcknowledgedKnown, g.Departed = true, false, 1 }, ""},
+		"a log left, two synchronous replicas": {func(g *Group) {
+			g.Servers[1].Usable, g.AcknowledgedKnown, g.Departed, g.SyncReplicas = true, false, 1, 2
+		}, "r1"},
+		"a later term without the entries before":   {func(g *Group) { g.Servers[2].Received, g.Servers[2].Term = at(4, 30), 4 }, ""},
+		"the primary has no newer position than it": {func(g *Group) { g.Servers[2].Received = at(3, 50) }, "r2"},
+	} {
+		t.Log(name)
+		g := Group{Primary: "p", Servers: candidates(), Durability: Durability{SyncReplicas: 1, Acknowledged: at(3, 50), AcknowledgedKnown: true}}
+		g.Servers[0].Reachable, g.Servers[0].SilentFor = false, heldTimeout
+		g.Servers[1].Usable, g.Servers[1].Settled, g.Servers[1].Received = false, true, at(3, 50)
+		g.Servers[2].Settled, g.Servers[2].Received = true, at(3, 30)
+		c.change(&g)
+		action := NextAction(time.Minute, g)
+		if c.want == "" {
+			is.Equal(action, hold)
+		} else {
+			is.Equal(action.Promote, c.want)
+		}
+		g.Primary, g.Recorded, g.Since = "", "p", time.Second // a new owner that has not reached the primary
+		is.Equal(NextAction(time.Minute, g).Promote, c.want)
+	}
+}
--- a/internal/placement/succession.go
+++ b/internal/placement/succession.go
@@ -13,6 +13,9 @@
 	// plannedTimeout is the time without a response up to which a primary is considered able to step down in a
 	// planned change.
 	plannedTimeout = 400 * time.Millisecond
+	// heldTimeout is how long a primary may be unreachable before statements are refused because no server is known to have
+	// all acknowledged commits. Within that time all other servers are asked again.
+	heldTimeout = 2 * primaryTimeout
 	// failoverCooldown is the time after a change of the primary in which it is not changed again. It prevents
 	// the role from moving back and forth between servers.
 	failoverCooldown = 2 * time.Second
@@ -42,6 +45,8 @@
 	DemotedFor time.Duration
 	Term       uint64
 	Received   session.Position
+	// Settled is set if Received was asked for when no further commit could be acknowledged to a caller.
+	Settled bool
 }
 
 // Group is the state of a database group from which the next action is derived.
@@ -58,6 +63,7 @@
 	Unsettled   string
 	UnsettledAt time.Duration
 	Servers     []Candidate
+	Durability
 }
 
 // Action is the next action for a group.
@@ -72,9 +78,14 @@
 	From string
 	// Planned is set if the server that leads still responds and can step down first.
 	Planned bool
-	Reason  string
+	// Held is set if the group needs another primary and no server is known to have all commits that callers rely on.
+	Held   bool
+	Reason string
 }
 
+// NoSafeSuccessor is the reason of an action that is held.
+const NoSafeSuccessor = "no server is known to have all acknowledged commits"
+
 // NextAction decides whether a group needs another primary.
 func NextAction(now time.Duration, g Group) Action {
 	byID := map[string]Candidate{}
@@ -89,7 +100,8 @@
 		if primary := reportedPrimary(g); primary.Term > current.Term || primary.ID != "" && primary.Term == current.Term {
 			return Action{Follow: primary.ID, Reason: "another server leads a later term"}
 		}
-		if current.DemotedFor >= demotedTimeout && reportedPrimary(g).ID == "" && now-g.ChangedAt >= promotionRetryInterval {
+		if current.DemotedFor >= demotedTimeout && reportedPrimary(g).ID == "" && now-g.ChangedAt >= promotionRetryInterval &&
+			g.MayPromote(g.Primary) {
 			// A former owner has made it step down, and its promotion did not follow. It has the most advanced log.
 			return Action{Promote: g.Primary, Term: nextTerm(g), Reason: "the primary has stepped down and no server leads"}
 		}
@@ -98,11 +110,16 @@
 	if healthy || g.ChangedAt > 0 && now-g.ChangedAt < failoverCooldown {
 		return Action{}
 	}
-	target, ok := successor(g)
-	if !ok || !settled(now, g, target.ID) {
+	planned := listed && current.Reachable && current.SilentFor < plannedTimeout
+	// In a planned change, the new primary receives the rest of the log before it is promoted.
+	target, ok := successor(g, !planned || g.NotCaughtUp)
+	switch {
+	case !ok && (planned || current.SilentFor >= heldTimeout) && g.holdsBack():
+		return Action{Held: true, Reason: NoSafeSuccessor}
+	case !ok || !settled(now, g, target.ID):
 		return Action{}
 	}
-	action := Action{Promote: target.ID, Term: nextTerm(g), From: g.Primary, Planned: listed && current.Reachable && current.SilentFor < plannedTimeout,
+	action := Action{Promote: target.ID, Term: nextTerm(g), From: g.Primary, Planned: planned,
 		Reason: "the primary does not answer"}
 	if !listed || !current.Usable {
 		action.Reason = "the primary is leaving or in a withdrawn failure domain"
@@ -114,6 +131,7 @@
 // promoted although another server still reports to lead, so no other server is followed: it is promoted anew.
 func discover(now time.Duration, g Group, byID map[string]Candidate) Action {
 	recorded := byID[g.Recorded] // the zero Candidate if it is not listed
+	recordedResponds := recorded.Heard && recorded.SilentFor < primaryTimeout
 	leader := reportedPrimary(g)
 	waited := now - g.Since
 	switch {
@@ -123,20 +141,22 @@
 		return Action{Follow: g.Recorded, Reason: "recorded primary"}
 	case g.ChangedAt > 0 && now-g.ChangedAt < promotionRetryInterval:
 		return Action{}
-	case recorded.Heard && recorded.SilentFor < primaryTimeout:
-		if waited <= discoveryTime {
-			return Action{}
-		}
+	case recordedResponds && waited <= discoveryTime:
+		return Action{}
+	case recordedResponds && g.MayPromote(g.Recorded):
 		// A previous owner may have ended before its promotion took effect.
 		return Action{Promote: g.Recorded, Term: nextTerm(g), Planned: leader.ID != "" && leader.ID != g.Recorded, From: leader.ID,
 			Reason: "recorded primary does not lead"}
 	case waited < discoveryTime && (waited < takeoverTime || !onlyPrimarySilent(g)):
 		return Action{}
-	case g.Recorded != "" && leader.ID != "" && now-max(g.Since, g.ChangedAt) < promotionSettleTime:
+	case g.Recorded != "" && (leader.ID != "" || recordedResponds) && now-max(g.Since, g.ChangedAt) < promotionSettleTime:
 		return Action{}
 	}
-	target, ok := successor(g)
-	if !ok || !settled(now, g, target.ID) {
+	target, ok := successor(g, true)
+	switch {
+	case !ok && g.holdsBack():
+		return Action{Held: true, Reason: NoSafeSuccessor}
+	case !ok || !settled(now, g, target.ID):
 		return Action{}
 	}
 	return Action{Promote: target.ID, Term: nextTerm(g), Planned: leader.ID != "" && leader.ID != target.ID, From: leader.ID,
@@ -188,11 +208,12 @@
 	return primary
 }
 
-// successor returns the server with the most advanced log that can become the primary.
-func successor(g Group) (Candidate, bool) {
+// successor returns the server with the most advanced log that can become the primary. durable requires that it is known
+// to have all acknowledged commits.
+func successor(g Group, durable bool) (Candidate, bool) {
 	var best Candidate
 	for _, s := range g.Servers {
-		if s.ID == g.Primary || !s.Usable || !s.Reachable {
+		if !g.eligible(s) || durable && !g.MayPromote(s.ID) {
 			continue
 		}
 		if best.ID == "" || s.Received.Compare(best.Received) > 0 {
@@ -201,3 +222,6 @@
 	}
 	return best, best.ID != ""
 }
+
+// eligible reports whether a server can take over from the primary, apart from its log.
+func (g Group) eligible(s Candidate) bool { return s.ID != g.Primary && s.Usable && s.Reachable }
