entry, entryvm: a VM answers the statements in hand before it exits

Cause: the end of the drain counted some of the work in hand. It waited for the brokers of the VM, and not for the statements that its own sessions had sent to other owners and readers, although it had just spared these sessions as busy.

Change: after 0.8 of the grace period, open transactions are rolled back, and their next statement is answered with ABORTED; resting sessions were cut before. Statements run until 0.5 s before its end and are sent with no longer timeout. What is left then no longer waits for servers and is answered. The transactions of other VMs' callers are waited for as long as the VM's own; one second before. A former owner rolls back the transactions that it may no longer finish at once, not with their next statement, as the drain would wait for them.

That the busy sessions were at fault, not the links, was seen from the record: the resets come with the exit of the process, whose log says "drained" with the number of sessions cut.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -211,6 +212,20 @@
 	for _, e := range refused {
 		e.reply(notOwnerResult(e))
 	}
+	if !b.ReplicasOnly {
+		time.AfterFunc(grace, b.endTransactions)
+	}
+}
+
+// endTransactions rolls back the transactions that an owner may no longer finish, so that they do not keep connections and
+// locks at their servers until their callers go on.
+func (b *Broker) endTransactions() {
+	b.mu.Lock()
+	keys := slices.Collect(maps.Keys(b.txs))
+	b.mu.Unlock()
+	for _, key := range keys {
+		b.RollBackStream(key)
+	}
 }
 
 // ActiveStreams returns the number of open transactions and of statements that are waiting or running.
@@ -220,6 +235,13 @@
 	return len(b.txs) + len(b.executions)
 }
 
+// RunningStatements returns the number of statements that are waiting or running.
+func (b *Broker) RunningStatements() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.executions)
+}
+
 // Execute runs a statement and calls reply once, possibly before it returns.
 func (b *Broker) Execute(key StreamKey, req Request, reply func(Result)) {
 	now := b.Clock()
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -126,8 +126,11 @@
 	crowded    *rate.Limiter
 	refusals   chan struct{} // one element for each connection that is being refused
 	draining   atomic.Bool
-	counters   counters
-	limitLog   *rate.Limiter
+	// stopping is set when transactions may no longer go on; no statement runs beyond stopsAt, in nanoseconds since 1970.
+	stopping atomic.Bool
+	stopsAt  atomic.Int64
+	counters counters
+	limitLog *rate.Limiter
 }
 
 type counters struct {
@@ -350,27 +353,54 @@
 	}
 }
 
-// Drain closes idle sessions at once and the others after their transaction. It returns when all sessions
-// have ended. After timeout it closes those that are waiting in an open transaction and returns their number.
-func (s *Server) Drain(timeout time.Duration) (closed int) {
+// Drain ends the sessions: idle ones at once, the others after their transaction. Transactions that are still open after
+// the time transactions are rolled back, and their next statement is told so. No statement runs beyond the time statements.
+// Drain returns when all sessions have ended, or then, with the number of those that are left.
+func (s *Server) Drain(transactions, statements time.Duration) (left int) {
+	began := time.Now()
+	s.stopsAt.Store(began.Add(statements).UnixNano())
 	s.draining.Store(true)
-	end := time.Now().Add(timeout)
-	for time.Now().Before(end) {
+	for time.Since(began) < statements {
+		s.stopping.Store(time.Since(began) >= transactions)
 		s.RecheckIdle()
 		if s.Sessions() == 0 {
 			return 0
 		}
 		time.Sleep(drainCheckInterval)
 	}
+	return s.Sessions()
+}
+
+// AwaitAnswers waits until no session runs a statement or writes its response, for a limited time. It returns the number of
+// sessions that still do.
+func (s *Server) AwaitAnswers(limit time.Duration) (busy int) {
+	for end := time.Now().Add(limit); ; time.Sleep(answerCheckInterval) {
+		if busy = s.busySessions(); busy == 0 || time.Now().After(end) {
+			return busy
+		}
+	}
+}
+
+func (s *Server) busySessions() (busy int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for sess := range s.sessions {
-		if !sess.busy.Load() {
-			closed++
-			_ = sess.conn.Close()
+		if sess.busy.Load() {
+			busy++
 		}
 	}
-	return closed
+	return busy
+}
+
+// answerCheckInterval is the time between two checks whether all statements have been answered.
+const answerCheckInterval = 5 * time.Millisecond
+
+// runtime returns how long a statement may still run on this VM, at most its timeout.
+func (s *Server) runtime(timeout time.Duration) time.Duration {
+	if at := s.stopsAt.Load(); at != 0 {
+		return min(timeout, time.Until(time.Unix(0, at))-ResponseMargin)
+	}
+	return timeout
 }
 
 // drainCheckInterval is the time between two checks whether all sessions have ended.
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -181,8 +181,11 @@
 		if s.mustClose() {
 			return statement.Statement{}, errClosed
 		}
-		if s.tx.executor != nil && s.keyWithdrawn() {
+		switch {
+		case s.tx.executor != nil && s.keyWithdrawn():
 			s.abort(keyNotValid)
+		case s.state == statement.InTransaction && s.tx.aborted == "" && s.server.stopping.Load():
+			s.abort(vmStops)
 		}
 		limit := s.idleTimeout()
 		var deadline time.Time
@@ -209,6 +212,9 @@
 	}
 }
 
+// vmStops is the reason why a transaction ends, or a statement does not run, on a VM that is about to exit.
+const vmStops = "this VM is about to exit"
+
 // keyNotValid is the reason why a transaction ends whose key has been withdrawn.
 const keyNotValid = "the key is no longer valid"
 
@@ -407,6 +413,10 @@
 	if s.tx.aborted != "" {
 		return s.fail(statement.Refusal(statement.Aborted, s.tx.aborted))
 	}
+	if s.server.stopping.Load() {
+		s.server.counters.refused.Inc(1)
+		return s.fail(s.refusalOfStop())
+	}
 	if refused := s.recheck(); refused != nil {
 		s.server.counters.refused.Inc(1)
 		s.server.Log.Info("statement refused", "id", st.ID, "database", s.database, "code", refused.Code, "detail", refused.Detail)
@@ -425,6 +435,14 @@
 	return s.applyResponse(st, req, response)
 }
 
+// refusalOfStop returns the response to a statement that arrives when this VM is about to exit. The statement has not run.
+func (s *session) refusalOfStop() statement.Response {
+	if s.state == statement.InTransaction {
+		return statement.Refusal(statement.Aborted, vmStops)
+	}
+	return statement.Refusal(statement.Overloaded, vmStops)
+}
+
 // recheck checks the key and the route of a statement inside a transaction against the configuration in effect. No server
 // has heard of a transaction before its first statement, which is therefore checked like a single one. Later, a change of
 // the route applies from the next transaction onward, and a key that is no longer valid ends the transaction.
@@ -458,7 +476,7 @@
 		Stream: s.tx.stream, Service: s.route.Service, Workspace: s.workspace,
 		Consistency: s.route.Consistency, MaxStaleness: s.route.MaxStaleness, MinPosition: s.minPosition,
 		Priority: s.route.Priority, LatencyObjective: s.route.LatencyObjective,
-		Timeout: timeout, Statement: st, Settings: s.settings,
+		Timeout: s.server.runtime(timeout), Statement: st, Settings: s.settings,
 	}
 	switch {
 	case s.state == statement.Idle:
--- a/internal/entry/session_test.go
+++ b/internal/entry/session_test.go
@@ -100,6 +100,7 @@
 	view    *directory.View
 	results map[string]broker.Result // by statement text
 	errs    map[string]error
+	block   map[string]func() // runs before the statement
 	ran     []broker.Request
 	ended   []uint64
 	streams uint64
@@ -138,6 +139,9 @@
 }
 
 func (o *owner) Do(req broker.Request, _ time.Duration) (broker.Result, error) {
+	if block := o.block[req.Statement.Text]; block != nil {
+		block()
+	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.ran = append(o.ran, req)
@@ -427,9 +431,40 @@
 	busy.send(statement.Begin, "BEGIN")
 	busy.send(statement.Write, "WRITE a")
 	closed := make(chan int)
-	go func() { closed <- s.Drain(5 * time.Second) }()
+	go func() { closed <- s.Drain(5*time.Second, 5*time.Second) }()
 	is.True(ended(idle))
 	is.Equal(busy.send(statement.Commit, "COMMIT").Code, statement.OK)
 	is.Equal(<-closed, 0)
 	is.True(ended(busy))
 }
+
+// Guards against a VM that exits beneath its callers: statements that are running when open transactions may no longer go on
+// were cut, and resting transactions ended without a word.
+func TestStatementsInHandAreAnsweredAtExit(t *testing.T) {
+	is := is.New(t)
+	o, resting, busy := newOwner(), newCaller("db", "key"), newCaller("db", "key")
+	o.results["WRITE a"] = broker.Result{TransactionOpen: true}
+	running, answer := make(chan struct{}), make(chan struct{})
+	o.block = map[string]func(){"READ slow": func() { close(running); <-answer }}
+	s := open(t, o, resting)
+	s.accept(busy)
+	resting.send(statement.Begin, "BEGIN")
+	resting.send(statement.Write, "WRITE a")
+	response := make(chan statement.Response)
+	go func() { response <- busy.send(statement.Read, "READ slow") }()
+	<-running
+	const limit = 3 * time.Second
+	left := make(chan int)
+	go func() { left <- s.Drain(20*time.Millisecond, limit) }()
+	for o.endedStreams() == 0 {
+		time.Sleep(time.Millisecond) // until the resting transaction is rolled back
+	}
+	is.Equal(s.AwaitAnswers(10*time.Millisecond), 1)
+	is.Equal(resting.send(statement.Commit, "COMMIT").Code, statement.Aborted)
+	is.True(s.runtime(time.Minute) <= limit-ResponseMargin)
+	close(answer)
+	is.Equal((<-response).Code, statement.OK) // the session was not closed meanwhile
+	close(resting.statements)
+	is.Equal(<-left, 0)
+	is.Equal(s.AwaitAnswers(0), 0)
+}
--- a/internal/entryvm/daemon.go
+++ b/internal/entryvm/daemon.go
@@ -27,13 +27,14 @@
 const (
 	// sweepInterval is the time between two checks for idle sessions and expired entries.
 	sweepInterval = 250 * time.Millisecond
-	// drainShare is the fraction of the grace period after which open transactions are aborted; the rest is a safety
-	// margin.
-	drainShare = 0.8
-	// deregisterTimeout bounds the removal of the VM's record at shutdown.
-	deregisterTimeout = 300 * time.Millisecond
-	// remoteTxTimeout bounds the wait at shutdown for the transactions of other VMs' callers at this VM's services.
-	remoteTxTimeout = time.Second
+	// drainShare is the fraction of the grace period after which open transactions are aborted. Statements run on until
+	// exitReserve before its end, at least for half of it.
+	drainShare  = 0.8
+	exitReserve = 500 * time.Millisecond
+	// deregisterTimeout bounds the removal of the VM's record at shutdown, lastAnswersTimeout the writing of the answers to
+	// statements that no longer wait for a server.
+	deregisterTimeout  = 300 * time.Millisecond
+	lastAnswersTimeout = 150 * time.Millisecond
 	// metricsTimeout bounds each step of a request for metrics, maxHeaderBytes its headers.
 	metricsTimeout = 10 * time.Second
 	maxHeaderBytes = 8 << 10
@@ -60,6 +61,7 @@
 	metrics        *broker.Metrics
 	era            metrics.Gauge // of the store
 	leaving        atomic.Bool
+	cutOff         chan struct{}                     // closed when the statements in hand no longer wait for servers
 	lastRenewalAt  atomic.Int64                      // last renewal received from any owner, on the daemon's clock
 	confirmed      [directory.KindCount]atomic.Int64 // when each kind last matched the store, on the daemon's clock
 	pendingMu      sync.Mutex
@@ -74,6 +76,7 @@
 		self: directory.VM{
 			Name: s.Name, Incarnation: rand.Uint64(), Address: s.PeerAddress, Domain: s.Domain, Cores: s.Cores,
 		},
+		cutOff:    make(chan struct{}),
 		directory: directory.New(), metrics: broker.NewMetrics(registry), era: metrics.GetOrRegisterGauge("store.era", registry),
 	}
 	d.settings.Store(&s)
@@ -253,20 +256,29 @@
 		defer cancel()
 		d.ownership.handOver(handOver)
 	}()
-	callerTimeout := time.Duration(drainShare * float64(grace))
-	cut := d.callers.Drain(callerTimeout)
-	end := time.Now().Add(min(remoteTxTimeout, grace-callerTimeout))
-	for time.Now().Before(end) && d.stillServing() {
+	began := time.Now()
+	transactions, statements := drainTimes(grace)
+	left := d.callers.Drain(transactions, statements)
+	for time.Since(began) < statements && d.stillServing(time.Since(began) < transactions) {
 		time.Sleep(checkInterval / 4)
 	}
 	var handedOver sync.WaitGroup
 	handedOver.Go(d.usage.handOver) // beside the store call, so that the grace period suffices for both
 	d.deregister()
 	handedOver.Wait()
-	d.log.Info("drained", "cut", cut)
+	close(d.cutOff)
+	d.peers.Close()
+	cut := d.callers.AwaitAnswers(lastAnswersTimeout)
+	d.log.Info("drained", "took", time.Since(began), "sessions_left", left, "answers_cut", cut)
 	return errDrained
 }
 
+// drainTimes returns for how long the transactions and the statements in hand may go on after SIGTERM.
+func drainTimes(grace time.Duration) (transactions, statements time.Duration) {
+	statements = max(grace-exitReserve, grace/2)
+	return min(time.Duration(drainShare*float64(grace)), statements), statements
+}
+
 // deregister removes the record of this VM, which then no longer counts as a voter.
 func (d *Daemon) deregister() {
 	ctx, cancel := context.WithTimeout(context.Background(), deregisterTimeout)
@@ -276,14 +288,15 @@
 	}
 }
 
-// stillServing reports whether this VM still owns services or has open transactions.
-func (d *Daemon) stillServing() bool {
+// stillServing reports whether this VM runs statements for other VMs or, while transactions may go on, has open transactions
+// or owns services.
+func (d *Daemon) stillServing(transactions bool) bool {
 	for _, b := range d.allBrokers() {
-		if b.ActiveStreams() > 0 {
+		if b.RunningStatements() > 0 || transactions && b.ActiveStreams() > 0 {
 			return true
 		}
 	}
-	return d.ownership.any()
+	return transactions && d.ownership.any()
 }
 
 // sweep periodically checks for idle sessions and expired directory entries.
--- a/internal/entryvm/near.go
+++ b/internal/entryvm/near.go
@@ -168,7 +168,7 @@
 func (r *router) reader(now time.Duration, vm directory.VM, service string) entry.Executor {
 	if vm.Name == r.d.self.Name {
 		if b := r.d.replicaReaders.broker(service); b != nil {
-			return localExecutor{b}
+			return localExecutor{b, r.d.cutOff}
 		}
 		return nil
 	}
--- a/internal/entryvm/router.go
+++ b/internal/entryvm/router.go
@@ -120,7 +120,7 @@
 	}
 	if record.Holder == r.d.self.RunID() {
 		if b := r.d.ownership.broker(service); b != nil {
-			return localExecutor{b}
+			return localExecutor{b, r.d.cutOff}
 		}
 		return nil
 	}
@@ -238,7 +238,11 @@
 }
 
 // localExecutor runs statements on this VM.
-type localExecutor struct{ b *broker.Broker }
+type localExecutor struct {
+	b *broker.Broker
+	// cutOff is closed when the VM exits and waits no longer for servers.
+	cutOff chan struct{}
+}
 
 // Do implements entry.Executor.
 func (l localExecutor) Do(req broker.Request, timeout time.Duration) (broker.Result, error) {
@@ -250,8 +254,9 @@
 	case r := <-results:
 		return r, nil
 	case <-ctx.Done():
-		return broker.Result{}, peer.ErrNoResponse
+	case <-l.cutOff:
 	}
+	return broker.Result{}, peer.ErrNoResponse
 }
 
 // EndStream implements entry.Executor.
