entryvm: open transactions have half of the grace period at SIGTERM of their owner

Cause: the services were handed over at once, and a former owner finishes transactions for 0.7 s only.

Change: a service is handed over when the transactions that were open at SIGTERM have ended, at the latest after half of the grace period. Meanwhile it is served as before, so new statements do not wait. A hand-over that the store refuses is tried again.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -235,6 +235,13 @@
 	return len(b.txs) + len(b.executions)
 }
 
+// OpenTransactions returns the transactions that are open.
+func (b *Broker) OpenTransactions() []StreamKey {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.Collect(maps.Keys(b.txs))
+}
+
 // RunningStatements returns the number of statements that are waiting or running.
 func (b *Broker) RunningStatements() int {
 	b.mu.Lock()
--- a/internal/entryvm/claim.go
+++ b/internal/entryvm/claim.go
@@ -4,12 +4,15 @@
 	"container/heap"
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"time"
 
+	"siskinrouter/internal/broker"
 	"siskinrouter/internal/directory"
 	"siskinrouter/internal/lease"
 	"siskinrouter/internal/peer"
+	"siskinrouter/internal/sleep"
 )
 
 const (
@@ -350,28 +353,76 @@
 	return answer
 }
 
-// handOver transfers the services of this VM to other VMs.
-func (o *ownership) handOver(ctx context.Context) {
-	v := o.d.directory.View()
-	for service, record := range v.OwnerRecords {
-		if record.Holder != o.d.self.RunID() {
-			continue
+const (
+	// handOverCheckInterval is the time between two checks whether a service can be handed over, and handOverRetryInterval
+	// the time between two attempts; each is a billed store call.
+	handOverCheckInterval = 25 * time.Millisecond
+	handOverRetryInterval = 400 * time.Millisecond
+)
+
+// handOverAll transfers the services of this VM to other VMs until ctx is done. A service is handed over when the
+// transactions that are open now have ended, at the latest after the time transactions: the next owner cannot finish them.
+// Until then this VM serves it as before.
+func (o *ownership) handOverAll(ctx context.Context, transactions time.Duration) {
+	began, attempted := o.d.clock(), map[string]time.Duration{}
+	awaited := o.openTransactions()
+	for ctx.Err() == nil {
+		v, left := o.d.directory.View(), false
+		for service, record := range v.OwnerRecords {
+			if record.Holder != o.d.self.RunID() {
+				continue
+			}
+			left = true
+			now := o.d.clock()
+			last, tried := attempted[service]
+			wait := now-began < transactions && o.anyOpen(service, awaited[service])
+			if wait || tried && now-last < handOverRetryInterval {
+				continue
+			}
+			attempted[service] = now
+			o.handOver(ctx, v, record)
 		}
-		o.mu.Lock()
-		candidates := o.successors(v, service)
-		o.mu.Unlock()
-		if len(candidates) == 0 {
-			continue
+		if !left {
+			return
 		}
-		// VMs of the primary's failure domain come first.
-		domain := primaryDomain(v, service)
-		slices.SortStableFunc(candidates, func(a, b string) int {
-			return boolRank(v.VMs[a].Domain != domain) - boolRank(v.VMs[b].Domain != domain)
-		})
-		o.handOverTo(ctx, record, v.VMs[candidates[0]])
+		sleep.For(ctx, handOverCheckInterval)
 	}
 }
 
+// openTransactions returns the open transactions of the services of this VM.
+func (o *ownership) openTransactions() map[string][]broker.StreamKey {
+	o.mu.Lock()
+	brokers := maps.Clone(o.brokers)
+	o.mu.Unlock()
+	open := map[string][]broker.StreamKey{}
+	for service, b := range brokers {
+		open[service] = b.OpenTransactions()
+	}
+	return open
+}
+
+// anyOpen reports whether any of the given transactions of a service is still open.
+func (o *ownership) anyOpen(service string, transactions []broker.StreamKey) bool {
+	b := o.broker(service)
+	return b != nil && slices.ContainsFunc(transactions, b.HasTransaction)
+}
+
+// handOver transfers a service of this VM to the VM that is preferred as its owner.
+func (o *ownership) handOver(ctx context.Context, v *directory.View, record directory.OwnerRecordEntry) {
+	o.mu.Lock()
+	candidates := o.successors(v, record.Service)
+	o.mu.Unlock()
+	if len(candidates) == 0 {
+		return
+	}
+	// VMs of the primary's failure domain come first.
+	domain := primaryDomain(v, record.Service)
+	slices.SortStableFunc(candidates, func(a, b string) int {
+		return boolRank(v.VMs[a].Domain != domain) - boolRank(v.VMs[b].Domain != domain)
+	})
+	o.handOverTo(ctx, record, v.VMs[candidates[0]])
+}
+
 func boolRank(b bool) int {
 	if b {
 		return 1
--- a/internal/entryvm/daemon.go
+++ b/internal/entryvm/daemon.go
@@ -251,13 +251,13 @@
 	grace := d.settings.Load().GracePeriod
 	d.log.Info("draining", "sessions", d.callers.Sessions(), "grace", grace)
 	d.leaving.Store(true)
-	handOver, cancel := context.WithTimeout(context.Background(), grace/2)
+	began := time.Now()
+	transactions, statements := drainTimes(grace)
+	handOver, cancel := context.WithTimeout(context.Background(), transactions)
 	go func() {
 		defer cancel()
-		d.ownership.handOver(handOver)
+		d.ownership.handOverAll(handOver, grace/2)
 	}()
-	began := time.Now()
-	transactions, statements := drainTimes(grace)
 	left := d.callers.Drain(transactions, statements)
 	for time.Since(began) < statements && d.stillServing(time.Since(began) < transactions) {
 		time.Sleep(checkInterval / 4)
--- a/internal/entryvm/tenure_test.go
+++ b/internal/entryvm/tenure_test.go
@@ -158,3 +158,37 @@
 	is.NoErr(promote(d.ownership.broker("ledger")))
 	is.Equal(len(p.sent), 1)
 }
+
+// Guards against a VM that ends the open transactions of its services at SIGTERM, by handing the services over at once, and
+// against one that keeps the services for as long as transactions are open.
+func TestHandOverWaitsForOpenTransactions(t *testing.T) {
+	for name, commits := range map[string]bool{"commits": true, "rests": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			d := ownerOfServer(t, &loneServer{})
+			b := d.ownership.broker("ledger")
+			beginTransaction(t, d, b, 1)
+			const limit = time.Second
+			began, done := time.Now(), make(chan time.Duration)
+			go func() {
+				d.ownership.handOverAll(t.Context(), limit)
+				done <- time.Since(began)
+			}()
+			for time.Since(began) < limit/2 {
+				grantAll(d)
+				is.True(execute(b, 1, statement.Read, 0).TransactionOpen)
+				is.True(d.ownership.broker("ledger") == b)
+				time.Sleep(20 * time.Millisecond)
+			}
+			if !commits {
+				is.True(<-done >= limit)
+				is.True(execute(b, 1, statement.Read, 0).TransactionOpen) // for a short time
+				return
+			}
+			is.Equal(execute(b, 1, statement.Commit, 0).Response.Code, statement.OK)
+			is.True(<-done < limit)
+			is.Equal(d.directory.View().OwnerRecords["ledger"].HandedOver, true)
+		})
+	}
+}
