placement: an owner follows a later term at once, and waits for a recorded promotion

Change: an owner follows a server that reports to lead a later term at once, instead of waiting until its own primary has stepped down. A new owner whose record names a promotion that no server has reported yet waits as long as an unanswered promotion may be on its way (2 s), also if no server leads. The window until a status query reports the late leader remains.

Evidence: TestLatePromotionIsFollowed fails before.

--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -476,3 +476,19 @@
 		is.Equal(NextAction(time.Minute, g).Promote, c.want)
 	}
 }
+
+// Guards against writes at a former primary that goes on although a promotion that was given up has taken effect, and against a
+// new owner that promotes another server while the recorded promotion, which no server has reported yet, may still do so.
+func TestLatePromotionIsFollowed(t *testing.T) {
+	is := is.New(t)
+	g := Group{Primary: "p", Servers: candidates()}
+	g.Servers[1].Primary, g.Servers[1].Term = true, 4
+	is.Equal(NextAction(time.Minute, g).Follow, "r1")
+	g = Group{Recorded: "r1", RecordedTerm: 4, Since: time.Minute, TakenOver: true, Servers: candidates()}
+	g.Servers[0].Reachable, g.Servers[0].Heard, g.Servers[0].Primary = false, false, false
+	g.Servers[1].Reachable, g.Servers[1].Heard = false, false
+	is.Equal(NextAction(time.Minute+promotionSettleTime-ms(1), g), Action{})
+	is.Equal(NextAction(time.Minute+promotionSettleTime, g).Promote, "r2")
+	g.RecordedTerm = 3 // it has led
+	is.Equal(NextAction(time.Minute+discoveryTime, g).Promote, "r2")
+}
--- a/internal/placement/succession.go
+++ b/internal/placement/succession.go
@@ -96,9 +96,13 @@
 		return discover(now, g, byID)
 	}
 	current, listed := byID[g.Primary]
+	if primary := reportedPrimary(g); listed && primary.ID != g.Primary && primary.Term > current.Term {
+		// A promotion that was given up has taken effect. The former primary may go on for a second.
+		return Action{Follow: primary.ID, Reason: "another server leads a later term"}
+	}
 	if listed && current.Reachable && !current.Primary {
-		if primary := reportedPrimary(g); primary.Term > current.Term || primary.ID != "" && primary.Term == current.Term {
-			return Action{Follow: primary.ID, Reason: "another server leads a later term"}
+		if primary := reportedPrimary(g); primary.ID != "" && primary.Term == current.Term {
+			return Action{Follow: primary.ID, Reason: "another server leads"}
 		}
 		if current.DemotedFor >= demotedTimeout && reportedPrimary(g).ID == "" && now-g.ChangedAt >= promotionRetryInterval &&
 			g.MayPromote(g.Primary) {
@@ -149,8 +153,9 @@
 			Reason: "recorded primary does not lead"}
 	case waited < discoveryTime && (waited < takeoverTime || !onlyPrimarySilent(g)):
 		return Action{}
-	case g.Recorded != "" && (leader.ID != "" || recordedResponds) && now-max(g.Since, g.ChangedAt) < promotionSettleTime:
-		return Action{}
+	case g.Recorded != "" && (leader.ID != "" || recordedResponds || g.RecordedTerm > latestTerm(g)) &&
+		now-max(g.Since, g.ChangedAt) < promotionSettleTime:
+		return Action{} // the recorded promotion may still take effect
 	}
 	target, ok := successor(g, true)
 	switch {
@@ -169,12 +174,14 @@
 }
 
 // nextTerm returns the term that a promotion begins at the earliest.
-func nextTerm(g Group) uint64 {
-	var latest uint64
+func nextTerm(g Group) uint64 { return latestTerm(g) + 1 }
+
+// latestTerm returns the latest term that a server has reported.
+func latestTerm(g Group) (latest uint64) {
 	for _, s := range g.Servers {
 		latest = max(latest, s.Term)
 	}
-	return latest + 1
+	return latest
 }
 
 // onlyPrimarySilent reports whether the previous owner has failed and all servers but one respond as replicas. The one
