entry: a session accepted during a drain runs its first statement

Such a session was accepted and closed at once, while its first statement was on the way, so a caller whose write had been sent got no answer and could not repeat it. The session now has 0.5 s for its first statement.

Evidence: TestSessionAcceptedDuringDrainRunsItsStatement; on the code before, the session ends before the statement is read.

--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -42,6 +42,7 @@
 	waiting       *list.Element
 	counted       *string
 	idleSince     atomic.Int64 // when the session became idle outside of a transaction, in nanoseconds since 1970; 0 if it is not
+	readyAt       time.Time    // when the session was accepted; zero once it has sent a statement
 	ending        atomic.Int32 // an endReason, 0 while the session goes on
 	busy          atomic.Bool  // a statement is running or its response is being written
 	closeWhenIdle atomic.Bool  // close the session once it is idle
@@ -69,6 +70,7 @@
 			return
 		}
 		s.busy.Store(true)
+		s.readyAt = time.Time{}
 		response := s.handle(st)
 		response.State = s.state
 		_ = s.conn.SetWriteDeadline(time.Now().Add(s.server.AnswerTimeout))
@@ -108,9 +110,19 @@
 		return false
 	}
 	s.server.started(s)
+	s.readyAt = time.Now()
 	return s.conn.WriteReady() == nil
 }
 
+// firstStatementTime is how long a session that was accepted during a drain is kept for its first statement, which callers
+// send at once. A close meanwhile would leave them without an answer.
+const firstStatementTime = 500 * time.Millisecond
+
+// expectsFirst reports whether the first statement of the session is probably on its way.
+func (s *session) expectsFirst() bool {
+	return !s.readyAt.IsZero() && time.Since(s.readyAt) < firstStatementTime
+}
+
 // end sends the caller an error if the session ends because of a message, or because of a limit.
 func (s *session) end(err error) {
 	code := statement.Malformed
@@ -249,7 +261,7 @@
 	if s.state != statement.Idle || s.conn.Buffered() {
 		return false
 	}
-	if s.server.draining.Load() || s.closeWhenIdle.Load() {
+	if (s.server.draining.Load() || s.closeWhenIdle.Load()) && !s.expectsFirst() {
 		return true
 	}
 	c := s.server.Router.View().Configuration
--- a/internal/entry/session_test.go
+++ b/internal/entry/session_test.go
@@ -468,3 +468,20 @@
 	is.Equal(<-left, 0)
 	is.Equal(s.AwaitAnswers(0), 0)
 }
+
+// Guards against a session that is accepted during a drain and closed while its first statement is on the way.
+func TestSessionAcceptedDuringDrainRunsItsStatement(t *testing.T) {
+	is := is.New(t)
+	o, c := newOwner(), newCaller("db", "key")
+	s := NewServer(Config{Router: o, Log: log.New(io.Discard), Registry: metrics.NewRegistry()})
+	s.draining.Store(true)
+	s.accept(c)
+	time.Sleep(20 * time.Millisecond) // the statement is on the way
+	is.Equal(c.send(statement.Read, "READ a").Code, statement.OK)
+	is.True(ended(c))
+	late := newCaller("db", "key")
+	s.accept(late) // sends nothing
+	time.Sleep(firstStatementTime)
+	s.RecheckIdle()
+	is.True(ended(late))
+}
