entryvm: a VM that is about to exit gets no service

When several VMs are stopped together, a service moved more than once, and its open transactions ended each time; claims waited for VMs that no longer claim.

Change: renewals and their acknowledgments say that their sender is about to exit. Owners and claimants leave it out; it still votes.

Evidence: TestLeavingVMGetsNoService.

--- a/internal/entryvm/claim.go
+++ b/internal/entryvm/claim.go
@@ -210,11 +210,12 @@
 	return true
 }
 
-// newClaimPlan ranks the VMs by their load. VMs whose run has ended are not eligible. The mutex must be held.
+// newClaimPlan ranks the VMs by their load. VMs whose run has ended or is about to end are not eligible. The mutex must be held.
 func (o *ownership) newClaimPlan(v *directory.View) *claimPlan {
 	plan := &claimPlan{ranking: newLoadRanking(v)}
 	for _, name := range plan.ranking.names {
-		plan.eligible = append(plan.eligible, !o.ended(v.VMs[name].RunID()))
+		run := v.VMs[name].RunID()
+		plan.eligible = append(plan.eligible, !o.ended(run) && o.leaving[name] != run)
 		plan.domains = append(plan.domains, v.VMs[name].Domain)
 	}
 	return plan
@@ -438,7 +439,7 @@
 	return preferredVMs(v, service, func(vm directory.VM) bool {
 		// Non-voters receive only one renewal in several rounds.
 		responsive := held == nil || !slices.Contains(voters, vm.Name) || held.SilentFor(now, vm.Name) < lease.SuspectTimeout
-		return vm.Name != o.d.self.Name && !o.ended(vm.RunID()) && responsive
+		return vm.Name != o.d.self.Name && !o.ended(vm.RunID()) && responsive && o.leaving[vm.Name] != vm.RunID()
 	})
 }
 
--- a/internal/entryvm/handler.go
+++ b/internal/entryvm/handler.go
@@ -35,6 +35,7 @@
 		d.lastRenewalAt.Store(int64(d.clock()))
 		d.adoptConfirmations(m.Renewal.LastChanges, m.Renewal.ConfirmedAge)
 		d.ownership.recordIsolation(l.Remote().RunID(), m.Renewal.Isolated)
+		d.ownership.recordLeaving(l.Remote().RunID(), m.Renewal.Leaving)
 		if len(m.Renewal.OwnerRecords) == 0 {
 			d.ownership.recordRunRenewal(l.Remote().RunID())
 		}
@@ -43,11 +44,13 @@
 		if h.mustAcknowledge(l.Remote().Name) {
 			h.send(l, peer.Message{RenewalAck: &peer.RenewalAck{
 				Sent: m.Renewal.Sent, Services: acknowledged, LastChanges: d.directory.View().LastChanges,
+				Leaving: d.leaving.Load(),
 			}})
 		}
 		d.requestChanges(l, m.Renewal.LastChanges)
 	case m.RenewalAck != nil:
 		d.observeChanges(m.RenewalAck.LastChanges) // before the acknowledgment can confirm an outdated lease
+		d.ownership.recordLeaving(l.Remote().RunID(), m.RenewalAck.Leaving)
 		d.ownership.recordAck(l.Remote().Name, m.RenewalAck.Sent, m.RenewalAck.Services)
 		d.requestChanges(l, m.RenewalAck.LastChanges)
 	case m.FailureQuery != nil:
--- a/internal/entryvm/ownership.go
+++ b/internal/entryvm/ownership.go
@@ -44,6 +44,7 @@
 	// noneBefore holds the latest records whose holders have stated that no unknown owner before them can act, by service.
 	noneBefore map[string]directory.OwnerRecord
 	isolated   map[string]directory.RunID // VMs that have reported to be isolated, by name
+	leaving    map[string]directory.RunID // VMs that have reported to be about to exit, by name
 	// promotions holds the promotions that this VM has requested and still waits for.
 	promotions map[uint64]*promotionAttempt
 	// reportsIsolation is set while the renewals of this VM say that it is isolated.
@@ -57,7 +58,7 @@
 		brokers: map[string]*broker.Broker{}, claiming: map[string]bool{},
 		vacantSince: map[string]time.Duration{}, refusedRuns: map[string]directory.RunID{},
 		firstSeen: map[string]firstSeenRecord{}, runRenewals: map[string]runRenewal{},
-		noneBefore: map[string]directory.OwnerRecord{}, isolated: map[string]directory.RunID{}, absences: absences{},
+		noneBefore: map[string]directory.OwnerRecord{}, isolated: map[string]directory.RunID{}, leaving: map[string]directory.RunID{}, absences: absences{},
 		promotions: map[uint64]*promotionAttempt{},
 	}
 }
--- a/internal/entryvm/renewal.go
+++ b/internal/entryvm/renewal.go
@@ -127,7 +127,7 @@
 	o.recordAck(o.d.self.Name, now, o.acknowledge(records))
 	m := peer.Message{Renewal: &peer.Renewal{
 		Sent: now, OwnerRecords: records, LastChanges: v.LastChanges, ConfirmedAge: o.d.confirmationAges(),
-		Isolated: isolated,
+		Isolated: isolated, Leaving: o.d.leaving.Load(),
 	}}
 	if scope == toAll {
 		o.send(v, m, func(string) bool { return true })
@@ -184,6 +184,21 @@
 	}
 }
 
+// recordLeaving records whether a VM has reported that it is about to exit. Such a VM takes no further services: it would
+// soon hand them over again, and end transactions each time.
+func (o *ownership) recordLeaving(run directory.RunID, leaving bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if !leaving {
+		delete(o.leaving, run.Name)
+		return
+	}
+	if o.leaving[run.Name] != run {
+		o.d.log.Info("VM is about to exit", "vm", run.Name)
+	}
+	o.leaving[run.Name] = run
+}
+
 // lastRunRenewal returns the time of the last renewal without records from the holder of an owner record. The mutex
 // must be held.
 func (o *ownership) lastRunRenewal(record directory.OwnerRecord) time.Duration {
--- a/internal/entryvm/tenure_test.go
+++ b/internal/entryvm/tenure_test.go
@@ -192,3 +192,20 @@
 		})
 	}
 }
+
+// Guards against a service that is handed over to a VM which is about to exit itself.
+func TestLeavingVMGetsNoService(t *testing.T) {
+	is := is.New(t)
+	d := ownerOfServer(t, &loneServer{})
+	o, b := d.ownership, directory.RunID{Name: "b", Incarnation: 1}
+	successors := func() []string {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		return o.successors(d.directory.View(), "ledger")
+	}
+	is.Equal(len(successors()), 2)
+	o.recordLeaving(b, true)
+	is.Equal(successors(), []string{"c"})
+	o.recordLeaving(directory.RunID{Name: "b", Incarnation: 9}, false) // a new run
+	is.Equal(len(successors()), 2)
+}
--- a/internal/peer/link_test.go
+++ b/internal/peer/link_test.go
@@ -47,7 +47,7 @@
 		{EndStream: &EndStream{Stream: 5}},
 		{Renewal: &Renewal{Sent: time.Hour, OwnerRecords: []directory.OwnerRecordEntry{{OwnerRecord: record, Revision: 9}}, LastChanges: counts,
 			ConfirmedAge: [directory.KindCount]time.Duration{time.Second, 0, -1, 5}, Isolated: true}},
-		{RenewalAck: &RenewalAck{Sent: 1, Services: []string{"s"}, LastChanges: counts}},
+		{RenewalAck: &RenewalAck{Sent: 1, Services: []string{"s"}, LastChanges: counts, Leaving: true}},
 		{ChangesRequest: &ChangesRequest{Kind: directory.Fleet, Since: 12}},
 		{FailureQuery: &FailureQuery{OwnerRecord: record}},
 		{Seq: 2, IsResponse: true, FailureVote: &FailureVote{Suspected: true}},
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -70,6 +70,8 @@
 	LastChanges  [directory.KindCount]uint64        `cbor:"4,keyasint,omitzero"` // revision of the last change of each kind known to the sender
 	// Isolated is set if the sender has lost all its leases: it reaches neither the majority nor the store.
 	Isolated bool `cbor:"5,keyasint,omitzero"`
+	// Leaving is set if the sender is about to exit.
+	Leaving bool `cbor:"6,keyasint,omitzero"`
 }
 
 // RenewalAck acknowledges a Renewal and lists the services whose renewal is granted.
@@ -77,6 +79,8 @@
 	Sent        time.Duration               `cbor:"2,keyasint,omitzero"` // of the Renewal
 	Services    []string                    `cbor:"3,keyasint,omitzero"`
 	LastChanges [directory.KindCount]uint64 `cbor:"4,keyasint,omitzero"` // revision of the last change of each kind known to the sender
+	// Leaving is set if the sender is about to exit: it still votes, and takes no services.
+	Leaving bool `cbor:"5,keyasint,omitzero"`
 }
 
 // FailureQuery asks whether the receiver suspects the owner of a service to have failed.
