placement, broker, entry: held changes of unlisted primaries, and a log line for refusals at exit

The note of a planned change that did not catch up outlived the withdrawal, so the next planned change, hours later, would have refused statements until all positions were fresh. A statement refused because its VM is about to exit left no line in the log.

Evidence: TestSuccessorHasAcknowledgedCommits asks for a primary that is no longer listed, too, and fails before.

--- a/internal/broker/durability.go
+++ b/internal/broker/durability.go
@@ -26,7 +26,7 @@
 	departed int
 	// notCaughtUp is set if the last planned change was given up because the new primary did not receive the log in time.
 	notCaughtUp bool
-	// held is set while no server may be promoted; since heldAt.
+	// held is set while no server may be promoted, since heldAt.
 	held   bool
 	heldAt time.Duration
 }
@@ -83,6 +83,9 @@
 // wait for one. The mutex must be held.
 func (b *Broker) setHeld(now time.Duration, action placement.Action) []pendingReply {
 	d := &b.durable
+	if !action.Held && b.primaryResponds() {
+		d.notCaughtUp = false
+	}
 	switch {
 	case action.Held && !d.held:
 		d.held, d.heldAt = true, now
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -425,11 +425,11 @@
 	if s.tx.aborted != "" {
 		return s.fail(statement.Refusal(statement.Aborted, s.tx.aborted))
 	}
-	if s.server.stopping.Load() {
-		s.server.counters.refused.Inc(1)
-		return s.fail(s.refusalOfStop())
+	refused := s.refusalOfStop()
+	if refused == nil {
+		refused = s.recheck()
 	}
-	if refused := s.recheck(); refused != nil {
+	if refused != nil {
 		s.server.counters.refused.Inc(1)
 		s.server.Log.Info("statement refused", "id", st.ID, "database", s.database, "code", refused.Code, "detail", refused.Detail)
 		return s.fail(*refused)
@@ -447,12 +447,17 @@
 	return s.applyResponse(st, req, response)
 }
 
-// refusalOfStop returns the response to a statement that arrives when this VM is about to exit. The statement has not run.
-func (s *session) refusalOfStop() statement.Response {
+// refusalOfStop returns the response to a statement that arrives when this VM is about to exit, nil at other times.
+func (s *session) refusalOfStop() *statement.Response {
+	if !s.server.stopping.Load() {
+		return nil
+	}
+	code := statement.Overloaded
 	if s.state == statement.InTransaction {
-		return statement.Refusal(statement.Aborted, vmStops)
+		code = statement.Aborted
 	}
-	return statement.Refusal(statement.Overloaded, vmStops)
+	refusal := statement.Refusal(code, vmStops)
+	return &refusal
 }
 
 // recheck checks the key and the route of a statement inside a transaction against the configuration in effect. No server
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -472,6 +472,8 @@
 		} else {
 			is.Equal(action.Promote, c.want)
 		}
+		g.Primary = "gone" // no longer listed
+		is.Equal(NextAction(time.Minute, g).Held, c.want == "")
 		g.Primary, g.Recorded, g.Since = "", "p", time.Second // a new owner that has not reached the primary
 		is.Equal(NextAction(time.Minute, g).Promote, c.want)
 	}
--- a/internal/placement/succession.go
+++ b/internal/placement/succession.go
@@ -118,7 +118,7 @@
 	// In a planned change, the new primary receives the rest of the log before it is promoted.
 	target, ok := successor(g, !planned || g.NotCaughtUp)
 	switch {
-	case !ok && (planned || current.SilentFor >= heldTimeout) && g.holdsBack():
+	case !ok && (planned || !listed || current.SilentFor >= heldTimeout) && g.holdsBack():
 		return Action{Held: true, Reason: NoSafeSuccessor}
 	case !ok || !settled(now, g, target.ID):
 		return Action{}
