broker: a statement does not roll back the one after it

The connection of a transaction could get ROLLBACK beneath the next statement, or once more after another transaction had taken it.

Cause: Broker.finish read the mark of an abandoned transaction after the reply and without the mutex. The reply lets the next statement begin; if the caller leaves then, both statements see the mark and roll back.

Change: the mark is read before the mutex is released.

--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -661,6 +661,36 @@
 	}
 }
 
+// Guards against a statement that rolls back its successor: the caller leaves while the next statement of the transaction
+// runs, before the first has returned from its reply.
+func TestRollbackWaitsForTheNextStatement(t *testing.T) {
+	is := is.New(t)
+	f := newFakeServers()
+	f.serviceTime = 20 * time.Millisecond
+	var order []statement.Kind
+	f.inject = func(_ string, c statement.Command) (statement.Code, bool) {
+		if c.Kind == statement.Write || c.Kind == statement.Rollback {
+			order = append(order, c.Kind)
+		}
+		return statement.OK, false
+	}
+	b, _ := newBroker(t, f, 20)
+	req := request(statement.Write, "WRITE a 1")
+	req.Begin = statement.Begin
+	key := StreamKey{Stream: req.Stream}
+	next := make(chan Result, 1)
+	b.Execute(key, req, func(Result) {
+		b.Execute(key, Request{Stream: req.Stream, Service: testService, Workspace: "ws", Timeout: time.Second,
+			Statement: statement.Statement{ID: "n", Kind: statement.Write, Text: "WRITE b 1"}}, func(r Result) { next <- r })
+		b.RollBackStream(key)
+	})
+	is.Equal((<-next).Response.Code, statement.OK)
+	time.Sleep(5 * f.serviceTime)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	is.Equal(order, []statement.Kind{statement.Write, statement.Write, statement.Rollback})
+}
+
 // Guards against a former owner that still runs statements at a primary that its successor may replace at once, and
 // against transactions that a planned hand-over breaks off.
 func TestFormerOwnerStops(t *testing.T) {
--- a/internal/broker/run.go
+++ b/internal/broker/run.go
@@ -205,9 +205,10 @@
 	case o.err == nil && o.response.State == statement.InTransaction:
 		b.keepTx(e, c, o, &replies)
 		start, replies = join(start, replies)(b.releaseSlot(now, e, o.err == nil))
+		abandoned := e.tx.abandoned // read before the reply, which lets the next statement use the connection
 		b.mu.Unlock()
 		b.startAndReply(start, replies)
-		if e.tx != nil && e.tx.abandoned {
+		if abandoned {
 			b.rollBack(c)
 		}
 		return
