--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"siskinrouter/internal/membership"
 )
 
 // MissingServerGrace is how long a server is kept after its entry has disappeared. Entries that expire during
@@ -41,6 +43,8 @@
 	// LastChanges holds the revision of the last known change of each kind. VMs compare it to decide whether
 	// they need updates from each other.
 	LastChanges [KindCount]uint64
+	// Voters is the latest known configuration of the voters.
+	Voters VotersEntry
 	// Era is the latest known era of the store.
 	Era          uint64
 	unregistered map[string]bool
@@ -451,6 +455,7 @@
 		}
 	case Fleet:
 		next.VMs, next.OwnerRecords = d.fleet()
+		next.Voters = d.latestVoters(old.Voters, revision)
 		if !maps.Equal(next.VMs, old.VMs) {
 			next.ByCores = ByCores(next.VMs)
 			next.byDomain = byDomain(next.ByCores, next.VMs)
@@ -527,6 +532,40 @@
 	return servers, missing
 }
 
+// VotersEntry is a configuration of the voters and the revision that its next change replaces.
+type VotersEntry struct {
+	membership.Configuration
+	Revision uint64 `cbor:"7,keyasint,omitzero"`
+}
+
+// latestVoters returns the latest configuration of the voters at a revision of the fleet. One that completes a change counts
+// only with all objects before it. A store that returns from an older copy, or empty, may hold an earlier configuration or
+// none; the known one then stays in force, and is written again. The caller holds the mutex.
+func (d *Directory) latestVoters(known VotersEntry, revision uint64) VotersEntry {
+	latest := VotersEntry{Configuration: known.Configuration}
+	for _, e := range d.objects[Fleet] {
+		if e.Voters == nil {
+			continue
+		}
+		switch {
+		case e.Voters.Number <= known.Number:
+			latest.Revision = e.Revision
+		case e.Voters.First() || revision >= e.Revision:
+			latest = VotersEntry{*e.Voters, e.Revision}
+		default:
+			latest.Revision = known.Revision
+		}
+	}
+	return latest
+}
+
+// MergeVoters applies a configuration of the voters sent by another VM.
+func (d *Directory) MergeVoters(now time.Duration, voters VotersEntry) {
+	if voters.Number > d.View().Voters.Number && voters.Validate() == nil {
+		d.Put(now, Fleet, Entry{Name: VotersName, Revision: voters.Revision, Voters: &voters.Configuration})
+	}
+}
+
 func (d *Directory) fleet() (map[string]VM, map[string]OwnerRecordEntry) {
 	vms := map[string]VM{}
 	records := map[string]OwnerRecordEntry{}
--- a/internal/directory/types.go
+++ b/internal/directory/types.go
@@ -7,6 +7,8 @@
 	"context"
 	"errors"
 	"time"
+
+	"siskinrouter/internal/membership"
 )
 
 // Kind is a class of objects in the platform's store. Each kind is listed and watched separately.
@@ -142,16 +144,20 @@
 	return r.Epoch
 }
 
+// VotersName is the name of the object of kind Fleet that holds the configuration of the voters.
+const VotersName = "voters"
+
 // Entry is one object of the store. Exactly one of the pointers is set, or none if the object could not be
 // decoded.
 type Entry struct {
-	Name          string         `cbor:"1,keyasint,omitzero"`
-	Revision      uint64         `cbor:"2,keyasint,omitzero"`
-	Deleted       bool           `cbor:"3,keyasint,omitzero"`
-	Configuration *Configuration `cbor:"4,keyasint,omitzero"`
-	Server        *Server        `cbor:"5,keyasint,omitzero"`
-	VM            *VM            `cbor:"6,keyasint,omitzero"`
-	OwnerRecord   *OwnerRecord   `cbor:"7,keyasint,omitzero"`
+	Name          string                    `cbor:"1,keyasint,omitzero"`
+	Revision      uint64                    `cbor:"2,keyasint,omitzero"`
+	Deleted       bool                      `cbor:"3,keyasint,omitzero"`
+	Configuration *Configuration            `cbor:"4,keyasint,omitzero"`
+	Server        *Server                   `cbor:"5,keyasint,omitzero"`
+	VM            *VM                       `cbor:"6,keyasint,omitzero"`
+	OwnerRecord   *OwnerRecord              `cbor:"7,keyasint,omitzero"`
+	Voters        *membership.Configuration `cbor:"9,keyasint,omitzero"`
 	// Patch replaces Configuration in messages between VMs.
 	Patch *Patch `cbor:"8,keyasint,omitzero"`
 }
@@ -188,4 +194,6 @@
 	// PutOwnerRecord replaces the owner record of a service if it has the given revision; the number 0, in any era,
 	// creates it. On ErrConflict it returns the entry that is in the store, a deleted one if there is none.
 	PutOwnerRecord(ctx context.Context, record OwnerRecord, revision uint64) (Entry, error)
+	// PutVoters replaces the configuration of the voters under the same conditions.
+	PutVoters(ctx context.Context, voters membership.Configuration, revision uint64) (Entry, error)
 }
--- a/internal/entryvm/claim.go
+++ b/internal/entryvm/claim.go
@@ -272,7 +272,7 @@
 
 // majoritySuspects asks the other voters whether they suspect an owner.
 func (o *ownership) majoritySuspects(record directory.OwnerRecord) peer.FailureVote {
-	own := peer.FailureVote{Suspected: slices.Contains(o.voters(), o.d.self.Name), NoneBefore: o.knowsNoneBefore(record)}
+	own := peer.FailureVote{Suspected: o.voters().Votes(o.d.self.Name), NoneBefore: o.knowsNoneBefore(record)}
 	return o.askVoters(peer.FailureQuery{OwnerRecord: record}, own)
 }
 
@@ -291,7 +291,7 @@
 	if q.OwnerRecord.Era >= max(v.Era, q.Era) {
 		return peer.FailureVote{Suspected: o.suspected(q.OwnerRecord), NoneBefore: o.knowsNoneBefore(q.OwnerRecord)}
 	}
-	now, isVoter := o.d.bootClock(), slices.Contains(voters(v), o.d.self.Name)
+	now, isVoter := o.d.bootClock(), v.Voters.Votes(o.d.self.Name)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	return peer.FailureVote{
@@ -311,9 +311,13 @@
 // askVoters sends a failure query to the other voters and returns whether a majority suspects, with this VM's own vote,
 // the latest epoch in the votes, and whether any of them knows of no owner before.
 func (o *ownership) askVoters(query peer.FailureQuery, own peer.FailureVote) peer.FailureVote {
+	type response struct {
+		vm   string
+		vote peer.FailureVote
+	}
 	v := o.d.directory.View()
-	voters := o.voters()
-	votes := make(chan peer.FailureVote, len(voters))
+	voters := v.Voters.Members()
+	responses := make(chan response, len(voters))
 	asked := 0
 	for _, name := range voters {
 		if name == o.d.self.Name {
@@ -327,30 +331,25 @@
 		go func() {
 			m, err := l.Call(peer.Message{FailureQuery: &query}, failureQueryTimeout)
 			if err != nil || m.FailureVote == nil {
-				votes <- peer.FailureVote{}
+				responses <- response{name, peer.FailureVote{}}
 				return
 			}
-			votes <- *m.FailureVote
+			responses <- response{name, *m.FailureVote}
 		}()
 	}
-	yes := 0
-	if own.Suspected {
-		yes++
-	}
+	suspects := map[string]bool{o.d.self.Name: own.Suspected}
+	majority := func() bool { return v.Voters.Majority(func(vm string) bool { return suspects[vm] }) }
 	answer := peer.FailureVote{Epoch: own.Epoch, NoneBefore: own.NoneBefore}
-	majority := len(voters)/2 + 1
 	for range asked {
-		if yes >= majority {
+		if majority() {
 			break
 		}
-		vote := <-votes
-		answer.Epoch = max(answer.Epoch, vote.Epoch)
-		answer.NoneBefore = answer.NoneBefore || vote.NoneBefore
-		if vote.Suspected {
-			yes++
-		}
+		r := <-responses
+		answer.Epoch = max(answer.Epoch, r.vote.Epoch)
+		answer.NoneBefore = answer.NoneBefore || r.vote.NoneBefore
+		suspects[r.vm] = r.vote.Suspected
 	}
-	answer.Suspected = yes >= majority
+	answer.Suspected = majority()
 	return answer
 }
 
@@ -438,7 +437,7 @@
 	voters := o.voters()
 	return preferredVMs(v, service, func(vm directory.VM) bool {
 		// Non-voters receive only one renewal in several rounds.
-		responsive := held == nil || !slices.Contains(voters, vm.Name) || held.SilentFor(now, vm.Name) < lease.SuspectTimeout
+		responsive := held == nil || !voters.Votes(vm.Name) || held.SilentFor(now, vm.Name) < lease.SuspectTimeout
 		return vm.Name != o.d.self.Name && !o.ended(vm.RunID()) && responsive && o.leaving[vm.Name] != vm.RunID()
 	})
 }
--- a/internal/entryvm/daemon.go
+++ b/internal/entryvm/daemon.go
@@ -51,6 +51,7 @@
 	directory *directory.Directory
 	peers     *peer.Peers
 	ownership *ownership
+	members   *members
 	// replicaReaders serves reads at the replicas of this VM's failure domain.
 	replicaReaders *replicaReaders
 	rateLimiter    *rateLimiter
@@ -61,6 +62,7 @@
 	metrics        *broker.Metrics
 	era            metrics.Gauge // of the store
 	leaving        atomic.Bool
+	registered     chan struct{}                     // closed when the store has the record of this VM
 	cutOff         chan struct{}                     // closed when the statements in hand no longer wait for servers
 	lastRenewalAt  atomic.Int64                      // last renewal received from any owner, on the daemon's clock
 	confirmed      [directory.KindCount]atomic.Int64 // when each kind last matched the store, on the daemon's clock
@@ -76,11 +78,12 @@
 		self: directory.VM{
 			Name: s.Name, Incarnation: rand.Uint64(), Address: s.PeerAddress, Domain: s.Domain, Cores: s.Cores,
 		},
-		cutOff:    make(chan struct{}),
+		cutOff: make(chan struct{}), registered: make(chan struct{}),
 		directory: directory.New(), metrics: broker.NewMetrics(registry), era: metrics.GetOrRegisterGauge("store.era", registry),
 	}
 	d.settings.Store(&s)
 	d.ownership = newOwnership(d)
+	d.members = newMembers(d)
 	d.replicaReaders = newReplicaReaders(d)
 	d.rateLimiter = newRateLimiter(d)
 	d.usage = newUsageReports(d, s.Usage)
@@ -153,6 +156,10 @@
 			d.ownership.broadcast.Store(true)
 		}
 	}
+	if old.Voters.Number != next.Voters.Number {
+		d.members.votersChanged(next.Voters)
+		d.ownership.changeVoters(old.Voters.Configuration)
+	}
 	serving := old.ServingVersion != next.ServingVersion || !old.SameDomains(next)
 	d.ownership.applyRecords(next, serving)
 	d.replicaReaders.applyView(next, serving)
@@ -202,7 +209,7 @@
 		d.addTask(&g, tasks, stop, func(ctx context.Context) error { return d.relistStale(ctx, k) })
 	}
 	for _, task := range []func(context.Context) error{
-		d.register, d.ownership.run, d.ownership.extendByReads, d.sweep, d.dialSeeds, d.reloadSettings,
+		d.register, d.ownership.run, d.members.run, d.ownership.extendByReads, d.sweep, d.dialSeeds, d.reloadSettings,
 		d.replicaReaders.run, d.usage.run,
 	} {
 		d.addTask(&g, tasks, stop, task)
@@ -279,8 +286,9 @@
 	return min(time.Duration(drainShare*float64(grace)), statements), statements
 }
 
-// deregister removes the record of this VM, which then no longer counts as a voter.
+// deregister removes the record of this VM, which no longer votes from here on.
 func (d *Daemon) deregister() {
+	d.members.retire()
 	ctx, cancel := context.WithTimeout(context.Background(), deregisterTimeout)
 	defer cancel()
 	if err := d.deps.Store.DeleteVM(ctx, d.self.Name); err != nil {
--- a/internal/entryvm/era.go
+++ b/internal/entryvm/era.go
@@ -9,6 +9,7 @@
 	"siskinrouter/internal/broker"
 	"siskinrouter/internal/directory"
 	"siskinrouter/internal/lease"
+	"siskinrouter/internal/membership"
 )
 
 // writeAgainAttempts bounds the conditional writes of a record in one check: the first one may only return the revision
@@ -17,7 +18,7 @@
 
 // continued reports whether a record is the one that this VM has written again in a later era of the store during its
 // ownership. The mutex must be held.
-func (o *ownership) continued(v *directory.View, now time.Duration, voters []string, held *lease.Lease,
+func (o *ownership) continued(v *directory.View, now time.Duration, voters membership.Configuration, held *lease.Lease,
 	record directory.OwnerRecordEntry) bool {
 	return record.Era > held.Record.Era && record.Holder == held.Record.Holder && !v.Outdated(record.OwnerRecord) &&
 		held.Confirmed(now, voters, o.ended)
@@ -25,7 +26,7 @@
 
 // givenUp reports whether an ownership ends because the store has returned from an older copy: only an owner whose lease a
 // majority confirms knows that no record of a later owner was lost. The mutex must be held.
-func (o *ownership) givenUp(v *directory.View, now time.Duration, voters []string, held *lease.Lease) bool {
+func (o *ownership) givenUp(v *directory.View, now time.Duration, voters membership.Configuration, held *lease.Lease) bool {
 	return v.Outdated(held.Record) && !held.Confirmed(now, voters, o.ended)
 }
 
--- a/internal/entryvm/era_test.go
+++ b/internal/entryvm/era_test.go
@@ -10,6 +10,7 @@
 	"siskinrouter/internal/broker"
 	"siskinrouter/internal/directory"
 	"siskinrouter/internal/lease"
+	"siskinrouter/internal/membership"
 	"siskinrouter/internal/peer"
 	"siskinrouter/internal/quota"
 )
@@ -150,7 +151,7 @@
 	d.deps.Store = &returnedStore{}
 	current := directory.OwnerRecordEntry{OwnerRecord: directory.OwnerRecord{Service: "stock", Epoch: 9, Holder: directory.RunID{Name: "b", Incarnation: 1}}}
 	o.voter = lease.NewVoter(d.bootClock() - lease.TTL)
-	is.Equal(o.acknowledge([]directory.OwnerRecordEntry{current}), []string{"stock"})
+	is.Equal(o.acknowledge(1, []directory.OwnerRecordEntry{current}), []string{"stock"})
 	query := peer.FailureQuery{Era: 2, OwnerRecord: directory.OwnerRecord{Service: "stock", Epoch: 8, Holder: directory.RunID{Name: "gone"}}}
 	is.Equal(o.vote(query), peer.FailureVote{Suspected: false, Epoch: 9})
 	o.voter = lease.NewVoter(d.bootClock())
@@ -265,15 +266,16 @@
 	d.directory.Update(0, directory.Listing{Kind: directory.Fleet, Revision: revision})
 	d.directory.Replace(0, directory.Listing{Kind: directory.Fleet, Revision: revision + 1, Entries: []directory.Entry{
 		{Name: "vm.a", Revision: revision, VM: &d.self},
+		{Name: directory.VotersName, Revision: revision, Voters: &membership.Configuration{Number: 2, Oldest: 2, Era: 2, Voters: []string{"a"}}},
 	}})
 	d.directory.Expire(time.Hour) // the other VMs have not registered again
-	is.Equal(o.voters(), []string{"a"})
+	is.Equal(o.voters().Members(), []string{"a"})
 	for epoch, stated := range map[uint64]bool{3 << 20: false, 4 << 20: true} {
 		former := directory.OwnerRecord{Epoch: epoch, Holder: directory.RunID{Name: "b", Incarnation: 1}, Era: 2, LostPredecessors: true}
 		s.stored = ownerEntry(epoch, former)
 		heard := directory.OwnerRecordEntry{OwnerRecord: *s.stored.OwnerRecord}
 		heard.LostPredecessors = !stated
-		o.acknowledge([]directory.OwnerRecordEntry{heard})
+		o.acknowledge(2, []directory.OwnerRecordEntry{heard})
 		o.claim(t.Context(), "ledger", directory.OwnerRecordEntry{OwnerRecord: former, Revision: s.stored.Revision})
 		is.Equal(s.stored.OwnerRecord.Holder, d.self.RunID())
 		is.Equal(s.stored.OwnerRecord.LostPredecessors, !stated)
@@ -296,9 +298,8 @@
 	o.runRenewals["b"] = runRenewal{holder, d.bootClock() - lease.SuspectTimeout - 1}
 	is.True(o.vote(query).Suspected)
 
-	leaving := d.self
-	leaving.Leaving = true // no voter
-	d.directory.Put(0, directory.Fleet, directory.Entry{Name: "vm.a", Revision: directory.MakeRevision(2, 9), VM: &leaving})
+	d.directory.MergeVoters(0, directory.VotersEntry{Revision: 9,
+		Configuration: membership.Configuration{Number: 2, Oldest: 2, Voters: []string{"b", "c"}}})
 	is.True(!o.vote(query).Suspected)
 }
 
--- a/internal/entryvm/handler.go
+++ b/internal/entryvm/handler.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 
 	"siskinrouter/internal/broker"
 	"siskinrouter/internal/directory"
@@ -36,19 +35,24 @@
 		d.adoptConfirmations(m.Renewal.LastChanges, m.Renewal.ConfirmedAge)
 		d.ownership.recordIsolation(l.Remote().RunID(), m.Renewal.Isolated)
 		d.ownership.recordLeaving(l.Remote().RunID(), m.Renewal.Leaving)
+		d.members.heard(l.Remote().Name)
+		if m.Renewal.Voters != nil {
+			d.directory.MergeVoters(d.clock(), *m.Renewal.Voters)
+		}
 		if len(m.Renewal.OwnerRecords) == 0 {
 			d.ownership.recordRunRenewal(l.Remote().RunID())
 		}
 		d.directory.MergeOwnerRecords(d.clock(), m.Renewal.OwnerRecords)
-		acknowledged := d.ownership.acknowledge(m.Renewal.OwnerRecords)
-		if h.mustAcknowledge(l.Remote().Name) {
+		acknowledged := d.ownership.acknowledge(m.Renewal.VotersNumber, m.Renewal.OwnerRecords)
+		if m.Renewal.Poll || d.ownership.voters().Votes(d.self.Name) {
 			h.send(l, peer.Message{RenewalAck: &peer.RenewalAck{
 				Sent: m.Renewal.Sent, Services: acknowledged, LastChanges: d.directory.View().LastChanges,
-				Leaving: d.leaving.Load(),
+				Leaving: d.leaving.Load(), Presence: d.members.state(),
 			}})
 		}
 		d.requestChanges(l, m.Renewal.LastChanges)
 	case m.RenewalAck != nil:
+		d.members.answered(l, m.RenewalAck.Presence)
 		d.observeChanges(m.RenewalAck.LastChanges) // before the acknowledgment can confirm an outdated lease
 		d.ownership.recordLeaving(l.Remote().RunID(), m.RenewalAck.Leaving)
 		d.ownership.recordAck(l.Remote().Name, m.RenewalAck.Sent, m.RenewalAck.Services)
@@ -58,6 +62,9 @@
 		vote := d.ownership.vote(*m.FailureQuery)
 		h.send(l, peer.Message{Seq: m.Seq, IsResponse: true,
 			FailureVote: &vote})
+	case m.PresenceQuery != nil:
+		report := d.members.report(*m.PresenceQuery)
+		h.send(l, peer.Message{Seq: m.Seq, IsResponse: true, PresenceReport: &report})
 	case m.Release != nil:
 		d.ownership.releasePromise(*m.Release)
 		if m.Release.Successor != nil {
@@ -69,6 +76,7 @@
 	case m.Hello != nil:
 		d.directory.MergeVM(d.clock(), m.Hello.VM)
 		d.ownership.clearRefused(m.Hello.VM)
+		d.members.heard(m.Hello.VM.Name)
 		d.peers.Announced(m.Hello.VM.Address)
 		d.ownership.renewUnconfirmed()
 		d.requestChanges(l, m.Hello.LastChanges)
@@ -124,14 +132,6 @@
 	}
 }
 
-// mustAcknowledge reports whether an owner that sent a renewal needs this VM's acknowledgment: this VM is a voter, or
-// the owner is the promotion coordinator, which detects VMs that are gone.
-func (h *handler) mustAcknowledge(owner string) bool {
-	v := h.d.directory.View()
-	coordinator, ok := coordinatorRecord(v)
-	return slices.Contains(voters(v), h.d.self.Name) || ok && coordinator.Holder.Name == owner
-}
-
 // execute runs a statement on behalf of another VM.
 func (h *handler) execute(l *peer.Link, m peer.Message) {
 	hold, repeatable := m.Run.Held, m.Run.Repeatable()
@@ -216,4 +216,7 @@
 }
 
 // ConnectionRefused implements peer.Handler.
-func (h *handler) ConnectionRefused(address string) { h.d.ownership.markRefused(address) }
+func (h *handler) ConnectionRefused(address string) {
+	h.d.ownership.markRefused(address)
+	h.d.members.refused(address)
+}
--- a/internal/entryvm/isolation_test.go
+++ b/internal/entryvm/isolation_test.go
@@ -11,6 +11,7 @@
 
 	"siskinrouter/internal/directory"
 	"siskinrouter/internal/lease"
+	"siskinrouter/internal/membership"
 )
 
 // isolatedOwner returns a VM that owns services and voted for itself, in a fleet of three whose other VMs are silent.
@@ -30,7 +31,10 @@
 	d.directory.Replace(0, directory.Listing{Kind: directory.Configurations, Revision: 1, Entries: []directory.Entry{{
 		Name: "main", Revision: 1, Configuration: c,
 	}}})
+	fleet.Entries = append(fleet.Entries, directory.Entry{Name: directory.VotersName, Revision: 1,
+		Voters: &membership.Configuration{Number: 1, Oldest: 1, Voters: []string{"a", "b", "c"}}})
 	d.directory.Replace(0, fleet)
+	d.members.fleetListed(fleet)
 	for _, b := range d.ownership.ownedBrokers() {
 		t.Cleanup(b.Close)
 	}
--- a/internal/entryvm/ownership.go
+++ b/internal/entryvm/ownership.go
@@ -11,14 +11,13 @@
 	"siskinrouter/internal/broker"
 	"siskinrouter/internal/directory"
 	"siskinrouter/internal/lease"
+	"siskinrouter/internal/membership"
 	"siskinrouter/internal/peer"
 )
 
 const (
 	// checkInterval is the time between two checks for vacant services.
 	checkInterval = 100 * time.Millisecond
-	// vmRemovalInterval is the time between two checks for VMs that are permanently gone.
-	vmRemovalInterval = 5 * time.Second
 )
 
 // ownership manages the services that this VM owns and votes on the ownership of the others.
@@ -36,6 +35,8 @@
 	renewalRounds int // number of renewal rounds sent
 	// broadcast requests an immediate renewal to all VMs, to announce changes.
 	broadcast atomic.Bool
+	// votersChanged requests an immediate renewal by the voters, as those of a new configuration have not promised yet.
+	votersChanged chan struct{}
 	// vacantSince holds when this VM first saw a service without an owner.
 	vacantSince map[string]time.Duration
 	refusedRuns map[string]directory.RunID // runs at whose address no process listens, by VM name
@@ -59,7 +60,7 @@
 		vacantSince: map[string]time.Duration{}, refusedRuns: map[string]directory.RunID{},
 		firstSeen: map[string]firstSeenRecord{}, runRenewals: map[string]runRenewal{},
 		noneBefore: map[string]directory.OwnerRecord{}, isolated: map[string]directory.RunID{}, leaving: map[string]directory.RunID{}, absences: absences{},
-		promotions: map[uint64]*promotionAttempt{},
+		promotions: map[uint64]*promotionAttempt{}, votersChanged: make(chan struct{}, 1),
 	}
 }
 
@@ -69,8 +70,6 @@
 	defer renewal.Stop()
 	check := time.NewTicker(checkInterval)
 	defer check.Stop()
-	removal := time.NewTicker(vmRemovalInterval)
-	defer removal.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -89,8 +88,8 @@
 			o.writeAgain(ctx)
 			o.claimVacant(ctx)
 			o.followPrimaries(ctx)
-		case <-removal.C:
-			go o.removeGoneVMs(ctx)
+		case <-o.votersChanged:
+			o.renew(toVoters)
 		}
 	}
 }
@@ -112,7 +111,7 @@
 // announce dials the VMs that vote on leases and the owners, so that they know that this VM is reachable.
 func (o *ownership) announce(v *directory.View) {
 	addresses := map[string]bool{}
-	for _, name := range voters(v) {
+	for _, name := range v.Voters.Members() {
 		addresses[v.VMs[name].Address] = true
 	}
 	for _, record := range v.OwnerRecords {
@@ -137,9 +136,9 @@
 	return o.ended(run)
 }
 
-// voters returns the names of the VMs that vote on leases.
-func (o *ownership) voters() []string {
-	return voters(o.d.directory.View())
+// voters returns the configuration of the VMs that vote on leases.
+func (o *ownership) voters() membership.Configuration {
+	return o.d.directory.View().Voters.Configuration
 }
 
 // Valid reports whether this VM may act as the owner of a service.
@@ -151,6 +150,20 @@
 	return held != nil && held.Valid(now, o.voters(), o.ended)
 }
 
+// changeVoters adapts the leases to a change of the voters.
+func (o *ownership) changeVoters(before membership.Configuration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := o.d.bootClock()
+	for _, held := range o.leases {
+		held.VotersChanged(now, before)
+	}
+	select {
+	case o.votersChanged <- struct{}{}:
+	default:
+	}
+}
+
 // validLease reports whether this VM may act under a lease, which is that of its present ownership.
 func (o *ownership) validLease(held *lease.Lease) bool {
 	now, voters := o.d.bootClock(), o.voters()
@@ -160,7 +173,7 @@
 }
 
 // validLeaseLocked is validLease with the mutex held.
-func (o *ownership) validLeaseLocked(now time.Duration, voters []string, held *lease.Lease) bool {
+func (o *ownership) validLeaseLocked(now time.Duration, voters membership.Configuration, held *lease.Lease) bool {
 	return o.leases[held.Record.Service] == held && held.Valid(now, voters, o.ended)
 }
 
@@ -177,7 +190,7 @@
 		return 0, 0, 0, false
 	}
 	vms := o.d.directory.View().VMs
-	admitting := slices.DeleteFunc(slices.Clone(voters), func(vm string) bool { return !admits(vm) })
+	admitting := slices.DeleteFunc(slices.Clone(voters.Members()), func(vm string) bool { return !admits(vm) })
 	share = held.HeardShare(now, admitting, func(vm string) bool { return o.ended(vms[vm].RunID()) }, reached)
 	return held.Record.Ownership(), held.Since, share, true
 }
--- a/internal/entryvm/preference.go
+++ b/internal/entryvm/preference.go
@@ -118,23 +118,6 @@
 	return next
 }
 
-const (
-	// allVotersLimit is the fleet size up to which all VMs are voters.
-	allVotersLimit = 12
-	// voterCount VMs vote in a larger fleet: four may fail, and the number of renewals does not grow with the fleet.
-	voterCount = 9
-)
-
-// voters returns the VMs that vote on leases. The order does not depend on who owns which service, so that VMs with
-// the same view of the fleet agree.
-func voters(v *directory.View) []string {
-	names := v.ByCores
-	if len(names) <= allVotersLimit {
-		return names
-	}
-	return names[:voterCount]
-}
-
 const (
 	// watcherCount VMs watch the store in addition to owners, so that changes still arrive if all owners are
 	// isolated.
--- a/internal/entryvm/preference_test.go
+++ b/internal/entryvm/preference_test.go
@@ -108,17 +108,6 @@
 	}
 }
 
-// Guards against renewals that grow with the fleet, and against VMs that disagree on the voters.
-func TestVoters(t *testing.T) {
-	is := is.New(t)
-	is.Equal(len(voters(fleetView(9, 3))), 9)
-	large := fleetView(82, 8)
-	names := voters(large)
-	is.Equal(len(names), voterCount)
-	large = fleetView(82, 8, owns("vm-7", "service-0"))
-	is.Equal(voters(large), names)
-}
-
 // Guards against a VM that starts slightly earlier and claims most services of a large fleet, and against owners on
 // every small VM, whose renewals grow with their number. Simulates the start of 10 large and 90 small VMs with 300
 // services; each checks every 100 ms, one of the large ones 300 ms before all others.
--- a/internal/entryvm/promote_test.go
+++ b/internal/entryvm/promote_test.go
@@ -28,7 +28,7 @@
 	d := isolatedOwner(t, "ledger")
 	o := d.ownership
 	grant := func() {
-		for _, name := range o.voters() {
+		for _, name := range o.voters().Members() {
 			o.recordAck(name, d.bootClock(), []string{"ledger"})
 		}
 	}
@@ -58,7 +58,7 @@
 	wanted := func(context.Context) error { return nil }
 	err := o.executePromotion(context.Background(), "ledger", "i-1", wanted) // no lease
 	is.True(errors.Is(err, broker.ErrNotPromoted))
-	for _, name := range o.voters() {
+	for _, name := range o.voters().Members() {
 		o.recordAck(name, d.bootClock(), []string{"ledger"})
 	}
 	err = o.executePromotion(context.Background(), "ledger", "i-1", func(context.Context) error { return errors.New("given up") })
--- a/internal/entryvm/ratelimit_test.go
+++ b/internal/entryvm/ratelimit_test.go
@@ -90,7 +90,7 @@
 		return admitted
 	}
 	is.Equal(admit(100), 1) // on its own account
-	for _, name := range d.ownership.voters() {
+	for _, name := range d.ownership.voters().Members() {
 		d.ownership.recordAck(name, d.bootClock(), []string{"ledger"})
 	}
 	is.True(admit(100) > 30) // a new allocator starts with a twentieth of the burst
--- a/internal/entryvm/renewal.go
+++ b/internal/entryvm/renewal.go
@@ -2,19 +2,16 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"siskinrouter/internal/directory"
 	"siskinrouter/internal/lease"
+	"siskinrouter/internal/membership"
 	"siskinrouter/internal/peer"
 	"siskinrouter/internal/sleep"
 )
 
 const (
-	// vmRemovalTimeout is the silence after which a VM counts as permanently gone; it is far longer than the outages
-	// that the users expect.
-	vmRemovalTimeout = 45 * time.Second
 	// nonVoterRounds is the number of renewal rounds after which VMs that are not voters receive a renewal as well.
 	nonVoterRounds = 4
 	// recordReadInterval is the time between two reads of an owner record while the majority of the voters is silent,
@@ -124,20 +121,24 @@
 	isolated := o.lostAll(now, voters)
 	o.reportsIsolation = isolated
 	o.mu.Unlock()
-	o.recordAck(o.d.self.Name, now, o.acknowledge(records))
+	o.recordAck(o.d.self.Name, now, o.acknowledge(v.Voters.Number, records))
 	m := peer.Message{Renewal: &peer.Renewal{
 		Sent: now, OwnerRecords: records, LastChanges: v.LastChanges, ConfirmedAge: o.d.confirmationAges(),
-		Isolated: isolated, Leaving: o.d.leaving.Load(),
+		Isolated: isolated, Leaving: o.d.leaving.Load(), VotersNumber: v.Voters.Number, Voters: o.d.members.announced(v),
+		Poll: o.d.members.coordinates(),
 	}}
-	if scope == toAll {
+	o.d.members.polled(v, m.Renewal.Poll && scope != toVoters)
+	votes := func(name string) bool { return voters.Votes(name) }
+	switch scope {
+	case toAll:
 		o.send(v, m, func(string) bool { return true })
-		return
-	}
-	o.send(v, m, func(name string) bool { return slices.Contains(voters, name) })
-	if scope == toOthersBrief {
+	case toVoters:
+		o.send(v, m, votes)
+	case toOthersBrief:
+		o.send(v, m, votes)
 		brief := *m.Renewal
 		brief.OwnerRecords = nil
-		o.send(v, peer.Message{Renewal: &brief}, func(name string) bool { return !slices.Contains(voters, name) })
+		o.send(v, peer.Message{Renewal: &brief}, func(name string) bool { return !votes(name) })
 	}
 }
 
@@ -164,7 +165,7 @@
 }
 
 // lostAll reports whether this VM has lost all its leases. The mutex must be held.
-func (o *ownership) lostAll(now time.Duration, voters []string) bool {
+func (o *ownership) lostAll(now time.Duration, voters membership.Configuration) bool {
 	for _, held := range o.leases {
 		if !held.Lost(now, voters, o.ended) {
 			return false
@@ -208,8 +209,12 @@
 	return 0
 }
 
-// acknowledge returns the services whose renewal this VM acknowledges.
-func (o *ownership) acknowledge(records []directory.OwnerRecordEntry) []string {
+// acknowledge returns the services whose renewal, by an owner under the given configuration of the voters, this VM
+// acknowledges.
+func (o *ownership) acknowledge(votersNumber uint64, records []directory.OwnerRecordEntry) []string {
+	if !o.d.members.accepts(votersNumber) {
+		return nil
+	}
 	now := o.d.bootClock()
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -256,36 +261,6 @@
 	o.mu.Unlock()
 }
 
-// removeGoneVMs removes the records of VMs that are permanently gone, so that they no longer count toward the
-// majority. Only the promotion coordinator does so.
-func (o *ownership) removeGoneVMs(ctx context.Context) {
-	v := o.d.directory.View()
-	coordinator, ok := coordinatorRecord(v)
-	if !ok || coordinator.Holder != o.d.self.RunID() {
-		return
-	}
-	holders := map[string]bool{o.d.self.Name: true}
-	for _, record := range v.OwnerRecords {
-		holders[record.Holder.Name] = true
-	}
-	now := o.d.bootClock()
-	o.mu.Lock()
-	held := o.leases[coordinator.Service]
-	var gone []string
-	for name := range v.VMs {
-		if held != nil && !holders[name] && held.SilentFor(now, name) > vmRemovalTimeout {
-			gone = append(gone, name)
-		}
-	}
-	o.mu.Unlock()
-	for _, name := range gone {
-		o.d.log.Info("removing the record of a VM that is gone", "vm", name, "silent_for_more_than", vmRemovalTimeout)
-		if err := o.d.deps.Store.DeleteVM(ctx, name); err != nil {
-			o.d.log.Warn("record of a VM that is gone was not removed", "vm", name, "error", err)
-		}
-	}
-}
-
 // suspected reports whether this VM suspects that the owner of a service has failed.
 func (o *ownership) suspected(record directory.OwnerRecord) bool {
 	o.mu.Lock()
--- a/internal/entryvm/router.go
+++ b/internal/entryvm/router.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -137,7 +136,7 @@
 
 // maxSilence returns the maximum age of the last renewal of a reachable owner.
 func (r *router) maxSilence() time.Duration {
-	if slices.Contains(r.d.ownership.voters(), r.d.self.Name) {
+	if r.d.ownership.voters().Votes(r.d.self.Name) {
 		return maxOwnerSilenceVoter
 	}
 	return maxOwnerSilence
--- a/internal/entryvm/storesync.go
+++ b/internal/entryvm/storesync.go
@@ -35,6 +35,8 @@
 	startupWatchDelay = 4 * time.Second
 	// registerInterval is the time between two checks that the VM's record still exists.
 	registerInterval = time.Second
+	// registrationWait bounds the time that the first listing of the fleet waits for this VM's own record.
+	registrationWait = 500 * time.Millisecond
 	// bootstrapListDelay lets VMs that start together register before each lists the others.
 	bootstrapListDelay = 600 * time.Millisecond
 	// minStoreBackoff and maxStoreBackoff bound the delay after a failed store call; each call is billed, also during
@@ -85,6 +87,14 @@
 	if k == directory.Fleet && d.settings.Load().Bootstrap {
 		sleep.For(ctx, bootstrapListDelay)
 	}
+	if k == directory.Fleet {
+		// A run votes once it has listed the fleet with its own record.
+		select {
+		case <-d.registered:
+		case <-time.After(registrationWait):
+		case <-ctx.Done():
+		}
+	}
 	pause := minStoreBackoff
 	listed := false
 	for ctx.Err() == nil {
@@ -136,6 +146,9 @@
 	d.log.Info("store listed", "kind", k, "revision", l.Revision, "objects", len(l.Entries))
 	d.directory.Replace(d.clock(), l)
 	d.confirm(k, started)
+	if k == directory.Fleet {
+		d.members.fleetListed(l)
+	}
 	*listed = true
 	after := l.Revision
 	for d.shouldWatch(k) {
@@ -263,6 +276,9 @@
 		e, err := d.deps.Store.PutVM(ctx, d.self)
 		if err == nil {
 			d.directory.Put(d.clock(), directory.Fleet, e)
+			if !registered {
+				close(d.registered)
+			}
 			registered = true
 			continue
 		}
--- a/internal/entryvm/tenure_test.go
+++ b/internal/entryvm/tenure_test.go
@@ -91,7 +91,7 @@
 
 // grantAll acknowledges a renewal by all voters.
 func grantAll(d *Daemon) {
-	for _, name := range d.ownership.voters() {
+	for _, name := range d.ownership.voters().Members() {
 		d.ownership.recordAck(name, d.bootClock(), []string{"ledger"})
 	}
 }
--- a/internal/entryvm/usage_test.go
+++ b/internal/entryvm/usage_test.go
@@ -43,7 +43,7 @@
 }
 
 func grantLeases(d *Daemon) {
-	for _, name := range d.ownership.voters() {
+	for _, name := range d.ownership.voters().Members() {
 		d.ownership.recordAck(name, d.bootClock(), []string{"ledger", "stock"})
 	}
 }
--- a/internal/imports_test.go
+++ b/internal/imports_test.go
@@ -17,7 +17,7 @@
 var decisionPackages = []string{
 	"verdict", "fleetconfig", "tomltext", "catalog", "grant", "fairqueue", "routing", "session",
 	"promotion", "retry", "machine", "hedge", "zone", "lease", "placement", "quota", "admission", "usage",
-	"configcheck", "configdiff",
+	"configcheck", "configdiff", "membership",
 }
 
 // allowedImports are the packages of the standard library and other modules that decision packages
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"siskinrouter/internal/directory"
+	"siskinrouter/internal/membership"
 )
 
 const (
@@ -138,6 +139,8 @@
 	Since    time.Duration            // when this VM learned that it is the owner
 	lastRead time.Duration            // start of the latest call that found the record unchanged
 	acked    map[string]time.Duration // by VM, the send time of the latest renewal that it acknowledged
+	promised time.Duration            // until when a majority of former voters has promised
+	changed  time.Duration            // when the voters last changed; promises to earlier renewals no longer count
 	raised   time.Duration            // when the epoch last rose during the ownership; 0 if it has not
 	// established is set once a majority has promised. From then on no earlier owner can obtain a majority.
 	established bool
@@ -206,23 +209,20 @@
 	l.raised = now
 }
 
-// EpochConfirmed reports whether a majority of the members has promised to accept no earlier epoch than the present one.
+// EpochConfirmed reports whether a majority of the voters has promised to accept no earlier epoch than the present one.
 // Until then a VM whose claim of an earlier epoch was lost from the store may still obtain a majority, so the epoch must not
 // be used as a fencing token, and reads of the record do not extend the lease.
-func (l *Lease) EpochConfirmed(members []string) bool {
-	confirmed := 0
-	for _, name := range members {
-		if at, ok := l.acked[name]; ok && at > l.raised {
-			confirmed++
-		}
-	}
-	return l.raised == 0 || confirmed > len(members)/2
+func (l *Lease) EpochConfirmed(voters membership.Configuration) bool {
+	return l.raised == 0 || voters.Majority(func(vm string) bool {
+		at, ok := l.granted(vm)
+		return ok && at > l.raised
+	})
 }
 
 // NoneBefore reports whether no other run can act under a record that may have been lost: the reads of unknown predecessors
 // have expired, and a majority has promised to accept no earlier epoch.
-func (l *Lease) NoneBefore(now time.Duration, members []string, ended func(directory.RunID) bool) bool {
-	return l.Valid(now, members, ended) && l.established && l.EpochConfirmed(members)
+func (l *Lease) NoneBefore(now time.Duration, voters membership.Configuration, ended func(directory.RunID) bool) bool {
+	return l.Valid(now, voters, ended) && l.established && l.EpochConfirmed(voters)
 }
 
 // NextEpoch returns the epoch that follows the known ones in an era of the store.
@@ -230,45 +230,51 @@
 
 // Valid reports whether the VM may act as the owner. A new owner first waits until its predecessors' reads of
 // the record have expired, unless the latest one has handed the service over or all of them are known to have ended.
-func (l *Lease) Valid(now time.Duration, members []string, ended func(directory.RunID) bool) bool {
+func (l *Lease) Valid(now time.Duration, voters membership.Configuration, ended func(directory.RunID) bool) bool {
 	alive := l.Record.LostPredecessors ||
 		slices.ContainsFunc(l.Record.Predecessors, func(run directory.RunID) bool { return !ended(run) })
 	if !l.Record.HandedOver && alive && now < l.Since+RecordTTL+SafetyMargin {
 		return false
 	}
-	if now < l.ValidUntil(members) {
+	if now < l.ValidUntil(voters) {
 		return true
 	}
-	return l.established && l.EpochConfirmed(members) && l.lastRead > 0 && now < l.lastRead+RecordTTL-SafetyMargin
+	return l.established && l.EpochConfirmed(voters) && l.lastRead > 0 && now < l.lastRead+RecordTTL-SafetyMargin
 }
 
-// Confirmed reports whether a majority of the members confirms the lease, without reads of the record. Only such an owner
+// Confirmed reports whether a majority of the voters confirms the lease, without reads of the record. Only such an owner
 // may go on after the store has returned from an older copy.
-func (l *Lease) Confirmed(now time.Duration, members []string, ended func(directory.RunID) bool) bool {
-	return l.Valid(now, members, ended) && now < l.ValidUntil(members)
+func (l *Lease) Confirmed(now time.Duration, voters membership.Configuration, ended func(directory.RunID) bool) bool {
+	return l.Valid(now, voters, ended) && now < l.ValidUntil(voters)
 }
 
 // Lost reports whether a lease that the majority had confirmed is no longer valid.
-func (l *Lease) Lost(now time.Duration, members []string, ended func(directory.RunID) bool) bool {
-	return !l.Valid(now, members, ended) && l.established
+func (l *Lease) Lost(now time.Duration, voters membership.Configuration, ended func(directory.RunID) bool) bool {
+	return !l.Valid(now, voters, ended) && l.established
 }
 
-// ValidUntil returns the time until which a majority of the members has promised, less SafetyMargin, or 0 if
-// fewer members have ever acknowledged a renewal. It sets established once a majority has.
-func (l *Lease) ValidUntil(members []string) time.Duration {
-	sent := make([]time.Duration, 0, len(members))
-	for _, name := range members {
-		if at, ok := l.acked[name]; ok {
-			sent = append(sent, at)
-		}
-	}
-	majority := len(members)/2 + 1
-	if len(sent) < majority {
-		return 0
+// ValidUntil returns the time until which a majority of the voters has promised, less SafetyMargin, or 0 if
+// fewer voters have ever acknowledged a renewal. It sets established once a majority has.
+func (l *Lease) ValidUntil(voters membership.Configuration) time.Duration {
+	sent, ok := voters.Reached(l.granted)
+	if !ok {
+		return l.promised
 	}
 	l.established = true
-	slices.SortFunc(sent, func(a, b time.Duration) int { return int(b - a) })
-	return sent[majority-1] + TTL - SafetyMargin
+	return max(l.promised, sent+TTL-SafetyMargin)
+}
+
+// granted returns when the latest renewal was sent that a voter has acknowledged under the present configuration.
+func (l *Lease) granted(vm string) (sent time.Duration, ok bool) {
+	sent, ok = l.acked[vm]
+	return sent, ok && sent >= l.changed
+}
+
+// VotersChanged records that the voters have changed. The promises of a majority of those before stay valid, because the
+// change is completed only after they have expired. A single one counts no longer: a voter that had joined, but did not know
+// the owners until the completion of the change, may have promised to a former one.
+func (l *Lease) VotersChanged(now time.Duration, before membership.Configuration) {
+	l.promised, l.changed = l.ValidUntil(before), now
 }
 
 // HeardWithin reports whether this VM received a renewal from the holder of an owner record within the given
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"siskinrouter/internal/directory"
+	"siskinrouter/internal/membership"
 )
 
 const testService = "ledger"
@@ -74,7 +75,7 @@
 func TestLeaseNeedsMajority(t *testing.T) {
 	is := is.New(t)
 	lease := New(0, directory.OwnerRecord{Service: testService, Epoch: 1})
-	members := []string{"a", "b", "c", "d"}
+	members := membership.Of("a", "b", "c", "d")
 	lease.RecordGrant("a", time.Second)
 	lease.RecordGrant("b", 2*time.Second)
 	is.Equal(lease.ValidUntil(members), time.Duration(0))
@@ -96,17 +97,17 @@
 // Guards against a new owner that serves while its predecessor still relies on a read of the record.
 func TestSuccessorWaitsForReads(t *testing.T) {
 	is := is.New(t)
-	members := []string{"a", "b", "c"}
+	members := membership.Of("a", "b", "c")
 	first := New(0, directory.OwnerRecord{Service: testService, Epoch: 1, Holder: holder("a", 1)})
 	read := time.Minute
-	for _, name := range members {
+	for _, name := range members.Members() {
 		first.RecordGrant(name, time.Second)
 	}
 	is.True(first.Valid(time.Second, members, noneEnded))
 	first.RecordRead(read, first.Record, 0)
 	second := New(read+time.Millisecond, directory.OwnerRecord{
 		Service: testService, Epoch: 2, Holder: holder("b", 1), Predecessors: []directory.RunID{first.Record.Holder}})
-	for _, name := range members {
+	for _, name := range members.Members() {
 		second.RecordGrant(name, read+time.Millisecond)
 	}
 	for now := read; now < read+TTL; now += time.Millisecond {
@@ -124,7 +125,7 @@
 	is := is.New(t)
 	lease := New(0, directory.OwnerRecord{Service: testService, Epoch: 2})
 	lease.RecordRead(time.Minute, lease.Record, 0)
-	is.True(!lease.Valid(time.Minute, []string{"a", "b", "c"}, noneEnded))
+	is.True(!lease.Valid(time.Minute, membership.Of("a", "b", "c"), noneEnded))
 }
 
 // Guards against promises on the word of a restored record, which may name a former owner, and against two holders of one
@@ -158,10 +159,10 @@
 // claim yet, and against one that acts while an unknown predecessor relies on a read.
 func TestReadsAfterReturnOfTheStore(t *testing.T) {
 	is := is.New(t)
-	members := []string{"a", "b", "c"}
+	members := membership.Of("a", "b", "c")
 	now := time.Minute
 	l := New(now, directory.OwnerRecord{Service: testService, Epoch: 5, Holder: holder("a", 1)})
-	for _, name := range members {
+	for _, name := range members.Members() {
 		l.RecordGrant(name, now)
 	}
 	is.True(l.Confirmed(now, members, noneEnded))
@@ -195,7 +196,7 @@
 // Guards against an owner that counts unknown predecessors as ended while it still waits for their reads.
 func TestNoneBeforeNeedsValidLease(t *testing.T) {
 	is := is.New(t)
-	members := []string{"a", "b", "c"}
+	members := membership.Of("a", "b", "c")
 	now := time.Minute
 	l := New(now, directory.OwnerRecord{Service: testService, Epoch: 2 << 20, Era: 2, LostPredecessors: true})
 	l.RecordGrant("a", now)
@@ -233,69 +234,133 @@
 	s.written = append(s.written, record)
 }
 
-// leaseModel is an owner and the era of the store that it knows.
+// leaseModel is an owner with the era of the store and the voters that it knows.
 type leaseModel struct {
 	*Lease
-	era uint64
+	era    uint64
+	voters membership.Configuration
+}
+
+// learn records that the owner has learned of a configuration of the voters.
+func (l *leaseModel) learn(now time.Duration, voters membership.Configuration) {
+	if voters.Number > l.voters.Number {
+		l.VotersChanged(now, l.voters)
+		l.voters = voters
+	}
+}
+
+// vmModel is a run of a VM: a voter, and one that changes the voters.
+type vmModel struct {
+	*Voter
+	read        directory.OwnerRecord // the record that it has read since its start
+	era         uint64                // that it knows
+	incarnation uint64
+	member      membership.Voter
+	voters      membership.Configuration // that it knows
+	learned     time.Duration
+	presence    *membership.Presence
+	version     int // of the stored configuration that it has read
+}
+
+// votersModel is the configuration of the voters in a store that may return from an older copy.
+type votersModel struct {
+	current membership.Configuration
+	written []membership.Configuration
+	version int
+}
+
+func (s *votersModel) write(voters membership.Configuration) {
+	s.current, s.version = voters, s.version+1
+	s.written = append(s.written, voters)
+}
+
+// learn records that the VM has learned of a configuration of the voters and, unless it is a joint one, of the record.
+func (vm *vmModel) learn(now time.Duration, voters membership.Configuration) {
+	if voters.Number > vm.voters.Number {
+		vm.voters, vm.learned = voters, now
+		vm.presence.ConfigurationChanged()
+	}
+}
+
+// list records that the VM has listed the fleet in the store.
+func (vm *vmModel) list(now time.Duration, s *votersModel, record directory.OwnerRecord, era uint64) {
+	vm.version, vm.era = s.version, era
+	if record.Epoch >= vm.read.Epoch {
+		vm.read = record
+	}
+	vm.learn(now, s.current)
+	if vm.voters.Era >= era {
+		vm.member.Confirm()
+	}
 }
 
 // Guards against overlapping leases, and against fencing tokens that decrease or have two holders, under delayed and lost
-// renewals, member restarts, any order of claims, and returns of the store from an older copy. Most faults need several
-// thousand sequences to be found.
+// renewals, member restarts, any order of claims, changes of the voters, and returns of the store from an older copy. Most
+// faults need several thousand sequences to be found.
 func TestLeasesDoNotOverlap(t *testing.T) {
 	const rounds = 20
+	voters := []string{"renew", "renew", "claim", "restart", "wait", "change voters", "change voters", "complete change",
+		"complete change", "complete change", "list", "ask a VM", "ask voters"}
+	all := append([]string{"read", "return", "observe", "write again", "update", "hand over", "send", "execute"}, voters...)
 	for range rounds {
-		rapid.Check(t, leasesDoNotOverlap)
+		rapid.Check(t, func(t *rapid.T) { leasesDoNotOverlap(t, 7, 5, all) })
+		rapid.Check(t, func(t *rapid.T) { leasesDoNotOverlap(t, 4, 3, voters) })
 	}
 }
 
-func leasesDoNotOverlap(t *rapid.T) {
-	const vms = 5
+// leasesDoNotOverlap runs a random sequence of steps in a fleet, the first VMs of which vote.
+func leasesDoNotOverlap(t *rapid.T, fleet, firstVoters int, steps []string) {
+	now := 10 * time.Second
 	var names []string
-	voters := map[string]*Voter{}
-	read := map[string]directory.OwnerRecord{} // by VM, the record that it has read since its start
-	eras := map[string]uint64{}                // by VM, the era that it knows
-	for i := range vms {
-		name := fmt.Sprintf("vm%d", i)
-		names = append(names, name)
-		voters[name] = NewVoter(0)
+	vms := map[string]*vmModel{}
+	for i := range fleet {
+		names = append(names, fmt.Sprintf("vm%d", i))
+	}
+	config := &votersModel{}
+	config.write(membership.Configuration{Number: 1, Oldest: 1, Voters: names[:firstVoters]})
+	for _, name := range names {
+		vms[name] = &vmModel{Voter: NewVoter(0), presence: membership.NewPresence()}
+		vms[name].list(now, config, directory.OwnerRecord{}, 0)
 	}
-	now := 10 * time.Second
 	store := &storeModel{}
 	store.write(directory.OwnerRecord{Service: testService, Epoch: 1, Holder: holder(names[0], 1)})
-	leases := []*leaseModel{{New(now, store.current), 0}}
+	leases := []*leaseModel{{New(now, store.current), 0, config.current}}
 	incarnation, token := uint64(1), directory.OwnerRecord{}
 	giveUp := func() {
 		leases = slices.DeleteFunc(leases, func(l *leaseModel) bool {
-			return l.Record.Era < l.era && !l.Confirmed(now, names, noneEnded)
+			return l.Record.Era < l.era && !l.Confirmed(now, l.voters, noneEnded)
 		})
 	}
-	// claim returns the record of a new owner, as a majority of the voters allows it.
-	claim := func() (next directory.OwnerRecord, ok bool) {
+	draw := func(label string) *vmModel { return vms[rapid.SampledFrom(names).Draw(t, label)] }
+	// claim returns the lease of a new owner, as a majority of the voters that it knows allows it.
+	claim := func() (l *leaseModel, ok bool) {
 		incarnation++
-		next = directory.OwnerRecord{Service: testService, Era: store.era,
-			Holder: holder(rapid.SampledFrom(names).Draw(t, "holder"), incarnation)}
+		name := rapid.SampledFrom(names).Draw(t, "holder")
+		next := directory.OwnerRecord{Service: testService, Era: store.era, Holder: holder(name, incarnation)}
+		voters := vms[name].voters
 		known := store.current.Epoch
 		if known > 0 {
 			next.Predecessors = append(slices.Clone(store.current.Predecessors), store.current.Holder)
 		}
 		next.LostPredecessors = store.current.LostPredecessors || store.current.Era < store.era
 		if store.current.Era < store.era {
-			first := rapid.IntRange(0, vms-1).Draw(t, "asked")
-			for i := range vms/2 + 1 {
-				voter := voters[names[(first+i)%vms]]
+			answers := map[string]bool{}
+			for _, asked := range rapid.Permutation(voters.Members()).Draw(t, "asked") {
+				voter := vms[asked]
+				if voters.Majority(func(vm string) bool { return answers[vm] }) {
+					break
+				}
 				if !voter.NoOwner(now, testService, noneEnded) {
-					return next, false
+					return nil, false
 				}
+				answers[asked] = true
 				known = max(known, voter.Epoch(testService))
 			}
 		}
 		next.Epoch = NextEpoch(known, store.era)
-		return next, true
+		return &leaseModel{New(now, next), store.era, voters}, true
 	}
-	steps := []string{"renew", "renew", "renew", "claim", "restart", "wait", "read",
-		"return", "observe", "write again", "update", "hand over", "send", "execute"}
-	for range rapid.IntRange(1, 80).Draw(t, "steps") {
+	for range rapid.IntRange(1, 100).Draw(t, "steps") {
 		step := rapid.SampledFrom(steps).Draw(t, "step")
 		if len(leases) == 0 && (step == "renew" || step == "read" || step == "observe" || step == "write again" || step == "update" ||
 			step == "hand over") {
@@ -305,18 +370,19 @@
 		case "renew":
 			lease := rapid.SampledFrom(leases).Draw(t, "lease")
 			sent := now
-			for _, name := range names {
+			for _, name := range lease.voters.Members() {
 				now += time.Duration(rapid.IntRange(0, 20).Draw(t, "delay")) * time.Millisecond
-				lost := rapid.Bool().Draw(t, "lost")
-				if !lost && voters[name].Renew(now, lease.Record, read[name], eras[name], noneEnded) {
+				lost, vm := rapid.Bool().Draw(t, "lost"), vms[name]
+				accepts := vm.member.Accepts(vm.voters, lease.voters.Number)
+				if !lost && accepts && vm.Renew(now, lease.Record, vm.read, vm.era, noneEnded) {
 					lease.RecordGrant(name, sent)
 				}
 			}
-			lease.ValidUntil(names) // owners check regularly whether to read their records
+			lease.ValidUntil(lease.voters) // owners check regularly whether to read their records
 		case "claim":
-			if next, ok := claim(); ok {
-				store.write(next)
-				leases = append(leases, &leaseModel{New(now, next), store.era})
+			if l, ok := claim(); ok {
+				store.write(l.Record)
+				leases = append(leases, l)
 			}
 		case "read":
 			lease := rapid.SampledFrom(leases).Draw(t, "lease")
@@ -324,11 +390,14 @@
 			now += time.Duration(rapid.IntRange(0, 300).Draw(t, "read takes")) * time.Millisecond
 			lease.RecordRead(started, store.current, store.era)
 		case "restart":
-			name := rapid.SampledFrom(names).Draw(t, "restarted")
-			voters[name] = NewVoter(now)
-			read[name], eras[name] = store.current, store.era
+			vm := draw("restarted")
+			*vm = vmModel{Voter: NewVoter(now), presence: membership.NewPresence(), incarnation: vm.incarnation + 1}
+			vm.read, vm.era = store.current, store.era
+			if rapid.Bool().Draw(t, "reaches the store") {
+				vm.list(now, config, store.current, store.era)
+			}
 		case "wait":
-			now += time.Duration(rapid.IntRange(1, 2000).Draw(t, "wait")) * time.Millisecond
+			now += time.Duration(rapid.OneOf(rapid.IntRange(1, 2000), rapid.Just(1100)).Draw(t, "wait")) * time.Millisecond
 		case "return":
 			i := rapid.IntRange(-1, len(store.written)-1).Draw(t, "copy")
 			store.current = directory.OwnerRecord{}
@@ -336,9 +405,10 @@
 				store.current = store.written[i]
 			}
 			store.era++
+			config.current = rapid.SampledFrom(config.written).Draw(t, "voters of the copy")
+			config.version++
 		case "observe":
-			name := rapid.SampledFrom(names).Draw(t, "voter")
-			eras[name] = store.era
+			draw("voter").era = store.era
 			rapid.SampledFrom(leases).Draw(t, "lease").era = store.era
 		case "write again":
 			lease := rapid.SampledFrom(leases).Draw(t, "lease")
@@ -359,7 +429,7 @@
 			// An owner that changes its record states whether all predecessors are known.
 			lease := rapid.SampledFrom(leases).Draw(t, "lease")
 			if store.current.Era == store.era && store.current.Epoch == lease.Record.Epoch &&
-				store.current.Holder == lease.Record.Holder && lease.NoneBefore(now, names, noneEnded) {
+				store.current.Holder == lease.Record.Holder && lease.NoneBefore(now, lease.voters, noneEnded) {
 				next := store.current
 				next.LostPredecessors = false
 				store.write(next)
@@ -371,23 +441,24 @@
 			lease := rapid.SampledFrom(leases).Draw(t, "lease")
 			record := store.current
 			if record.Epoch != lease.Record.Epoch || record.Holder != lease.Record.Holder ||
-				record.Era < store.era && (lease.era < store.era || !lease.Confirmed(now, names, noneEnded)) ||
-				(record.LostPredecessors || !record.HandedOver && len(record.Predecessors) > 0) && !lease.Valid(now, names, noneEnded) {
+				record.Era < store.era && (lease.era < store.era || !lease.Confirmed(now, lease.voters, noneEnded)) ||
+				(record.LostPredecessors || !record.HandedOver && len(record.Predecessors) > 0) && !lease.Valid(now, lease.voters, noneEnded) {
 				break
 			}
 			incarnation++
+			name := rapid.SampledFrom(names).Draw(t, "holder")
 			next := directory.OwnerRecord{Service: testService, Epoch: NextEpoch(record.Epoch, store.era), Era: store.era,
-				Holder:           holder(rapid.SampledFrom(names).Draw(t, "holder"), incarnation),
+				Holder:           holder(name, incarnation),
 				Predecessors:     append(slices.Clone(record.Predecessors), record.Holder),
-				LostPredecessors: (record.LostPredecessors || record.Era < store.era) && !lease.NoneBefore(now, names, noneEnded),
+				LostPredecessors: (record.LostPredecessors || record.Era < store.era) && !lease.NoneBefore(now, lease.voters, noneEnded),
 				HandedOver:       true,
 			}
 			store.write(next)
 			leases = slices.DeleteFunc(leases, func(l *leaseModel) bool { return l == lease })
-			leases = append(leases, &leaseModel{New(now, next), store.era})
+			leases = append(leases, &leaseModel{New(now, next), store.era, vms[name].voters})
 		case "send":
-			if next, ok := claim(); ok {
-				store.delayed = append(store.delayed, next)
+			if l, ok := claim(); ok {
+				store.delayed = append(store.delayed, l.Record)
 			}
 		case "execute":
 			// After a return, a conditional write finds its number if the record is as restored. That a record of the
@@ -398,15 +469,67 @@
 				}
 			}
 			store.delayed = nil
+		case "change voters":
+			// Any set may follow: which one is best decides who can act, not whether two can.
+			vm := draw("changes")
+			if vm.version != config.version || vm.voters.Joint() || vm.voters.Era < vm.era {
+				break
+			}
+			number := vm.voters.Number + 1
+			next := membership.Configuration{Number: number, Oldest: number, Era: vm.era, Outgoing: vm.voters.Voters,
+				Voters: rapid.SliceOfNDistinct(rapid.SampledFrom(names), 1, fleet, rapid.ID).Draw(t, "voters")}
+			config.write(next)
+			vm.version = config.version
+			vm.learn(now, next)
+		case "complete change":
+			vm := draw("completes")
+			vm.presence.BeginPoll(now)
+			for _, name := range vm.voters.Members() {
+				if other := vms[name]; !rapid.Bool().Draw(t, "lost") {
+					if vm.voters.First() {
+						other.learn(now, vm.voters) // renewals carry it
+					}
+					vm.presence.Answered(now, name, membership.Report{Incarnation: other.incarnation, Number: other.voters.Number,
+						Confirmed: other.member.Confirmed()})
+				}
+			}
+			change, due := membership.Situation{Now: now, Era: vm.era, Current: vm.voters, Learned: vm.learned,
+				Presence: vm.presence, PromiseTime: TTL + SafetyMargin, Domain: func(string) string { return "" }}.Next()
+			if due && vm.version == config.version {
+				config.write(change.Next)
+				vm.version = config.version
+			}
+		case "list":
+			draw("lists").list(now, config, store.current, store.era)
+		case "ask a VM":
+			now += time.Millisecond
+			asked, vm := draw("asked"), draw("asks")
+			if !asked.voters.Joint() && asked.read.Epoch > vm.read.Epoch {
+				vm.read = asked.read
+			}
+			vm.learn(now, asked.voters)
+			if len(leases) > 0 {
+				rapid.SampledFrom(leases).Draw(t, "owner").learn(now, asked.voters)
+			}
+		case "ask voters":
+			vm := draw("asks")
+			answers := map[string]bool{}
+			for _, name := range vm.voters.Members() {
+				other := vms[name]
+				answers[name] = !rapid.Bool().Draw(t, "lost") && other.member.Confirmed() && other.voters.Number <= vm.voters.Number
+			}
+			if vm.voters.Majority(func(vm string) bool { return answers[vm] }) {
+				vm.member.Confirm()
+			}
 		}
 		giveUp()
 		valid := 0
 		for _, lease := range leases {
-			if !lease.Valid(now, names, noneEnded) {
+			if !lease.Valid(now, lease.voters, noneEnded) {
 				continue
 			}
 			valid++
-			if lease.Record.Era < lease.era || !lease.EpochConfirmed(names) {
+			if lease.Record.Era < lease.era || !lease.EpochConfirmed(lease.voters) {
 				continue // it does not use its epoch as a token
 			}
 			if lease.Record.Epoch < token.Epoch || lease.Record.Epoch == token.Epoch && lease.Record.Holder != token.Holder {
@@ -424,7 +547,7 @@
 // reachable after it has lost its lease.
 func TestLostLease(t *testing.T) {
 	is := is.New(t)
-	members := []string{"a", "b", "c"}
+	members := membership.Of("a", "b", "c")
 	never := func(directory.RunID) bool { return false }
 	l := New(0, directory.OwnerRecord{Service: "s", Epoch: 1})
 	is.True(!l.Lost(time.Second, members, never))
@@ -471,14 +594,14 @@
 // in between meanwhile.
 func TestGrantOfFormerOwnershipDoesNotCount(t *testing.T) {
 	is := is.New(t)
-	members := []string{"a", "b", "c"}
+	members := membership.Of("a", "b", "c")
 	l := New(600*time.Millisecond, directory.OwnerRecord{Service: "ledger", Epoch: 7})
-	for _, name := range members {
+	for _, name := range members.Members() {
 		l.RecordGrant(name, 500*time.Millisecond) // of a renewal with epoch 5
 	}
 	is.Equal(l.ValidUntil(members), time.Duration(0))
 	is.True(!l.Valid(610*time.Millisecond, members, noneEnded))
-	for _, name := range members {
+	for _, name := range members.Members() {
 		l.RecordGrant(name, 600*time.Millisecond)
 	}
 	is.True(l.Valid(610*time.Millisecond, members, noneEnded))
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -35,6 +35,8 @@
 	PromotionConfirm *PromotionConfirm      `cbor:"19,keyasint,omitzero"`
 	UsageQuery       *UsageQuery            `cbor:"20,keyasint,omitzero"`
 	UsageReport      *UsageReport           `cbor:"21,keyasint,omitzero"`
+	PresenceQuery    *PresenceQuery         `cbor:"22,keyasint,omitzero"`
+	PresenceReport   *PresenceReport        `cbor:"23,keyasint,omitzero"`
 	// Reserve announces a large Run or Result. The message itself has the Seq of its Reserve in Reserved.
 	Reserve  *Reserve `cbor:"30,keyasint,omitzero"`
 	Reserved uint64   `cbor:"31,keyasint,omitzero"`
@@ -72,6 +74,12 @@
 	Isolated bool `cbor:"5,keyasint,omitzero"`
 	// Leaving is set if the sender is about to exit.
 	Leaving bool `cbor:"6,keyasint,omitzero"`
+	// VotersNumber is the number of the configuration of the voters under which the sender acts. Voters is set for a while
+	// after a change.
+	VotersNumber uint64                 `cbor:"7,keyasint,omitzero"`
+	Voters       *directory.VotersEntry `cbor:"8,keyasint,omitzero"`
+	// Poll is set if the sender watches which VMs of the fleet are there, and needs an acknowledgment from each.
+	Poll bool `cbor:"9,keyasint,omitzero"`
 }
 
 // RenewalAck acknowledges a Renewal and lists the services whose renewal is granted.
@@ -81,6 +89,26 @@
 	LastChanges [directory.KindCount]uint64 `cbor:"4,keyasint,omitzero"` // revision of the last change of each kind known to the sender
 	// Leaving is set if the sender is about to exit: it still votes, and takes no services.
 	Leaving bool `cbor:"5,keyasint,omitzero"`
+	// Presence states what the sender knows of the voters.
+	Presence MemberState `cbor:"6,keyasint,omitzero"`
+}
+
+// MemberState is what a VM knows of the configuration of the voters.
+type MemberState struct {
+	Number uint64 `cbor:"1,keyasint,omitzero"` // of the latest configuration that it knows
+	// Confirmed is set if it votes.
+	Confirmed bool `cbor:"2,keyasint,omitzero"`
+}
+
+// PresenceQuery asks which of the named VMs the receiver has heard from recently.
+type PresenceQuery struct {
+	VMs []string `cbor:"1,keyasint,omitzero"`
+}
+
+// PresenceReport is the response to a PresenceQuery.
+type PresenceReport struct {
+	State MemberState `cbor:"1,keyasint,omitzero"`
+	Heard []string    `cbor:"2,keyasint,omitzero"`
 }
 
 // FailureQuery asks whether the receiver suspects the owner of a service to have failed.
