--- a/internal/membership/plan.go
+++ b/internal/membership/plan.go
@@ -109,7 +109,7 @@
 	arrived := slices.DeleteFunc(slices.Clone(s.Candidates), func(vm string) bool {
 		return s.Presence.Silence(s.Now, vm) > candidateSilence || !s.Presence.HeardWithin(s.Now, vm, candidateSilence)
 	})
-	if slices.ContainsFunc(arrived, func(vm string) bool { return !slices.Contains(voters, vm) }) {
+	if added := count(arrived, func(vm string) bool { return !s.Current.Votes(vm) }); added > 0 && len(voters)+added <= allVotersLimit {
 		limit = min(limit, shortPatience) // one change for those that arrive and those that they replace
 	}
 	var kept, removed []string
