directory: a listing announces objects that the VM knew alone before

What callers saw: VMs that do not watch the store did not learn who owns a service, and refused its statements, for as long as nothing else changed.

Cause: a claim is applied with Put, which leaves the latest change of the kind as it is, as objects before it may be missing. The listing that follows held the same objects, so it did not count as a change either, and VMs that compare latest changes saw nothing to request.

Change: the latest change after a listing is that of its latest object.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -176,10 +176,8 @@
 		d.publish(now, l.Kind, l.Revision, l.Revision)
 		return true
 	}
-	changed := d.view.Load().LastChanges[l.Kind]
-	if !sameRevisions(d.objects[l.Kind], objects) {
-		changed = latestRevision(objects, changed)
-	}
+	// Objects that were known alone before, such as a record that this VM has written, count as changes from here on.
+	changed := latestRevision(objects, d.view.Load().LastChanges[l.Kind])
 	for name := range d.objects[l.Kind] {
 		if _, ok := objects[name]; !ok {
 			// The deletion happened at the listed revision at the latest.
@@ -271,11 +269,6 @@
 	}
 }
 
-// sameRevisions reports whether two states of a kind hold the same objects at the same revisions.
-func sameRevisions(a, b map[string]Entry) bool {
-	return maps.EqualFunc(a, b, func(x, y Entry) bool { return x.Revision == y.Revision })
-}
-
 // latestRevision returns the highest revision among the objects and the last known change.
 func latestRevision(objects map[string]Entry, before uint64) uint64 {
 	latest := before
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -196,3 +196,16 @@
 	d.Expire(40*time.Second + 2*departedMemory)
 	is.Equal(d.View().Departed["s"], 0)
 }
+
+// Guards against VMs that never learn of a record: its writer knew it before it listed the kind, so the listing did not count
+// as a change, and the writer told nobody.
+func TestListingAnnouncesOwnRecord(t *testing.T) {
+	is := is.New(t)
+	d := New()
+	d.Replace(0, Listing{Kind: Fleet, Revision: 4})
+	e := Entry{Name: "service.s", Revision: 6, OwnerRecord: &OwnerRecord{Service: "s", Epoch: 1}}
+	d.Put(0, Fleet, e)
+	d.Replace(0, Listing{Kind: Fleet, Revision: 7, Entries: []Entry{e}})
+	is.Equal(d.View().LastChanges[Fleet], uint64(6))
+	is.Equal(len(d.Changes(Fleet, 4).Entries), 1)
+}
