membership: silent VMs get no service; voters that have left are replaced sooner

Cause: a VM that does not vote is polled seldom, so an owner took each one for responsive. A voter that was replaced for its silence became one of these.

Change: services go to VMs that are not silent in the presence that members keeps, for hand-overs and claims alike. Voters poll each other while there is no coordinator, so that the one that stands in knows who is silent; two store listings at the start are gone.

Evidence: TestSilentVMGetsNoService fails without the check.

--- a/internal/entryvm/claim.go
+++ b/internal/entryvm/claim.go
@@ -210,12 +210,17 @@
 	return true
 }
 
-// newClaimPlan ranks the VMs by their load. VMs whose run has ended or is about to end are not eligible. The mutex must be held.
+// available reports whether a VM may take a service: its run has not ended, is not about to end, and is not silent. The mutex
+// must be held.
+func (o *ownership) available(vm directory.VM) bool {
+	return !o.ended(vm.RunID()) && o.leaving[vm.Name] != vm.RunID() && !o.d.members.silent(vm.Name)
+}
+
+// newClaimPlan ranks the VMs by their load. The mutex must be held.
 func (o *ownership) newClaimPlan(v *directory.View) *claimPlan {
 	plan := &claimPlan{ranking: newLoadRanking(v)}
 	for _, name := range plan.ranking.names {
-		run := v.VMs[name].RunID()
-		plan.eligible = append(plan.eligible, !o.ended(run) && o.leaving[name] != run)
+		plan.eligible = append(plan.eligible, o.available(v.VMs[name]))
 		plan.domains = append(plan.domains, v.VMs[name].Domain)
 	}
 	return plan
@@ -433,12 +438,8 @@
 // successors returns the VMs to which a service of this VM may be handed over, in order of preference. The mutex must be
 // held.
 func (o *ownership) successors(v *directory.View, service string) []string {
-	held, now := o.leases[service], o.d.bootClock()
-	voters := o.voters()
 	return preferredVMs(v, service, func(vm directory.VM) bool {
-		// Non-voters receive only one renewal in several rounds.
-		responsive := held == nil || !voters.Votes(vm.Name) || held.SilentFor(now, vm.Name) < lease.SuspectTimeout
-		return vm.Name != o.d.self.Name && !o.ended(vm.RunID()) && responsive && o.leaving[vm.Name] != vm.RunID()
+		return vm.Name != o.d.self.Name && o.available(vm)
 	})
 }
 
--- a/internal/entryvm/isolation_test.go
+++ b/internal/entryvm/isolation_test.go
@@ -92,3 +92,21 @@
 	o.recordIsolation(directory.RunID{Name: "c", Incarnation: 1}, true) // an earlier run
 	is.True(o.heardWithin(record, time.Minute))
 }
+
+// Guards against services that go to a VM that is gone: once it was replaced as a voter, it counted as one that is not asked
+// often enough to be silent.
+func TestSilentVMGetsNoService(t *testing.T) {
+	is := is.New(t)
+	d := isolatedOwner(t, "ledger")
+	o := d.ownership
+	past := d.bootClock() - 3*time.Second
+	for _, vm := range []string{"b", "c"} {
+		d.members.presence.Heard(past, vm)
+	}
+	d.members.presence.Polled(past, "b")
+	d.directory.MergeVoters(0, directory.VotersEntry{Revision: 9,
+		Configuration: membership.Configuration{Number: 2, Oldest: 2, Voters: []string{"a", "c"}}})
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	is.Equal(o.successors(d.directory.View(), "ledger"), []string{"c"})
+}
--- a/internal/entryvm/members.go
+++ b/internal/entryvm/members.go
@@ -37,6 +37,8 @@
 	announceVotersTime = 2 * time.Second
 	// confirmInterval is the time between two listings of the fleet by a VM that may not vote yet.
 	confirmInterval = time.Second
+	// otherSilence is the silence after which a VM that does not vote takes no services; it is polled every 0.8 s.
+	otherSilence = 2 * time.Second
 	// removalInterval is the time between two checks for VMs that are gone.
 	removalInterval = 5 * time.Second
 	// promiseTime is how long a promise of a voter can last on a clock that runs 1% slower.
@@ -47,7 +49,7 @@
 // voters that are silent and removes the records of VMs that are gone.
 type members struct {
 	d  *Daemon
-	mu sync.Mutex // never held during a call to the ownership or the directory
+	mu sync.Mutex // never held during a call to the ownership, whose mutex may be held during calls to members
 	// voter is this run as a voter. listed is set once this run has listed the fleet in the store with its own record,
 	// listedEra is the era then. retired is set once it votes no more.
 	voter     membership.Voter
@@ -70,7 +72,7 @@
 }
 
 func newMembers(d *Daemon) *members {
-	return &members{d: d, presence: membership.NewPresence(), removed: map[directory.RunID]bool{},
+	return &members{d: d, presence: membership.NewPresence(), listedAt: d.bootClock(), removed: map[directory.RunID]bool{},
 		number:   metrics.GetOrRegisterGauge("voters.number", d.registry),
 		size:     metrics.GetOrRegisterGauge("voters.size", d.registry),
 		changes:  metrics.GetOrRegisterCounter("voters.changes", d.registry),
@@ -85,41 +87,59 @@
 		if v.Configuration == nil || m.d.leaving.Load() {
 			continue
 		}
-		now := m.d.bootClock()
-		m.mu.Lock()
-		m.presence.Answered(now, m.d.self.Name, membership.Report{Incarnation: m.d.self.Incarnation,
-			Number: v.Voters.Number, Confirmed: m.confirmed(v)})
-		confirmed := m.voter.Confirmed()
-		m.recordRemoved(v, now)
-		m.mu.Unlock()
-		if !confirmed {
-			m.listAgain(ctx, now)
-		}
-		coordinates := m.coordinates()
-		standsIn := !coordinates && m.standsIn(v, now)
-		if v.Voters.Number > 0 && (standsIn || !confirmed) {
-			m.poll(v, now)
-		}
-		if coordinates || standsIn {
-			m.changeVoters(ctx, v, now)
-		}
-		if coordinates {
-			m.removeGone(ctx, v, now)
-		}
+		m.check(ctx, v, m.d.bootClock())
 	}
 	return nil
 }
 
+// check does what is due.
+func (m *members) check(ctx context.Context, v *directory.View, now time.Duration) {
+	coordinates := m.coordinates()
+	missing := !coordinates && m.coordinatorMissing(v)
+	m.mu.Lock()
+	m.presence.Answered(now, m.d.self.Name, membership.Report{Incarnation: m.d.self.Incarnation,
+		Number: v.Voters.Number, Confirmed: m.confirmed(v)})
+	m.recordRemoved(v, now)
+	switch {
+	case !missing:
+		m.uncoordinatedSince = 0
+	case m.uncoordinatedSince == 0:
+		m.uncoordinatedSince = now
+	}
+	uncoordinated := now - m.uncoordinatedSince
+	confirmed := m.voter.Confirmed()
+	m.mu.Unlock()
+	if !confirmed {
+		m.listAgain(ctx, now)
+	}
+	standsIn := missing && m.standsIn(v, uncoordinated)
+	// Voters poll while there is no coordinator, so that they know which ones are silent when they have to stand in.
+	if v.Voters.Number > 0 && (standsIn || missing && v.Voters.Votes(m.d.self.Name) || !confirmed) {
+		m.poll(v, now)
+	}
+	if coordinates || standsIn {
+		m.changeVoters(ctx, v, now)
+	}
+	if coordinates {
+		m.removeGone(ctx, v, now)
+	}
+}
+
 // coordinates reports whether this VM is the promotion coordinator.
 func (m *members) coordinates() bool {
 	record, ok := coordinatorRecord(m.d.directory.View())
 	return ok && record.Holder == m.d.self.RunID() && m.d.ownership.Valid(record.Service)
 }
 
-// standsIn reports whether this VM acts in place of a promotion coordinator that is missing, in the order of the voters.
-func (m *members) standsIn(v *directory.View, now time.Duration) bool {
+// coordinatorMissing reports whether no promotion coordinator is heard from.
+func (m *members) coordinatorMissing(v *directory.View) bool {
 	record, ok := coordinatorRecord(v)
-	missing := !ok || record.Holder == m.d.self.RunID() || !m.d.ownership.heardWithin(record.OwnerRecord, maxOwnerSilence)
+	return !ok || record.Holder == m.d.self.RunID() || !m.d.ownership.heardWithin(record.OwnerRecord, m.d.router.maxSilence())
+}
+
+// standsIn reports whether this VM acts in place of a promotion coordinator that has been missing for the given time: the
+// voters in their order, then others. The first configuration is written soon after the start.
+func (m *members) standsIn(v *directory.View, missing time.Duration) bool {
 	rank := slices.Index(v.Voters.Members(), m.d.self.Name)
 	if rank < 0 {
 		rank = len(v.Voters.Members()) + max(slices.Index(v.ByCores, m.d.self.Name), 0)
@@ -128,15 +148,7 @@
 	if v.Voters.Number == 0 {
 		return m.d.clock() >= firstVotersDelay+time.Duration(rank)*firstVotersRankDelay
 	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	switch {
-	case !missing:
-		m.uncoordinatedSince = 0
-	case m.uncoordinatedSince == 0:
-		m.uncoordinatedSince = now
-	}
-	return missing && now-m.uncoordinatedSince >= standInDelay+time.Duration(rank)*standInRankDelay
+	return missing >= standInDelay+time.Duration(rank)*standInRankDelay
 }
 
 // changeVoters writes the next configuration of the voters if a change is due.
@@ -168,10 +180,7 @@
 	o := m.d.ownership
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return slices.DeleteFunc(slices.Clone(v.ByCores), func(name string) bool {
-		run := v.VMs[name].RunID()
-		return o.ended(run) || o.leaving[name] == run
-	})
+	return slices.DeleteFunc(slices.Clone(v.ByCores), func(name string) bool { return !o.available(v.VMs[name]) })
 }
 
 // write writes a configuration unless another VM still hears from a voter that it removes.
@@ -220,7 +229,7 @@
 	*v = m.d.directory.View()
 	next, due := m.next(*v, m.d.bootClock())
 	*change = next
-	return due && (*v).Voters.Number == 0 && m.standsIn(*v, m.d.bootClock())
+	return due && (*v).Voters.Number == 0 && m.standsIn(*v, 0)
 }
 
 // list lists the fleet in the store.
@@ -235,10 +244,10 @@
 	return true
 }
 
-// listAgain lists the fleet from time to time until this run may vote.
+// listAgain lists the fleet from time to time until the store has the record of this run.
 func (m *members) listAgain(ctx context.Context, now time.Duration) {
 	m.mu.Lock()
-	due := now-m.listedAt >= confirmInterval
+	due := !m.listed && now-m.listedAt >= confirmInterval
 	if due {
 		m.listedAt = now
 	}
@@ -433,6 +442,19 @@
 	m.presence.Heard(now, m.d.self.Name)
 }
 
+// silent reports whether a VM has left this one's polls unanswered. VMs that do not vote are polled by the coordinator only, but
+// a voter that was replaced for its silence stays silent until it is heard from.
+func (m *members) silent(vm string) bool {
+	limit := otherSilence
+	if m.d.directory.View().Voters.Votes(vm) {
+		limit = lease.SuspectTimeout
+	}
+	now := m.d.bootClock()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.presence.Silence(now, vm) > limit
+}
+
 // heard records a message from a VM that is not an answer.
 func (m *members) heard(vm string) {
 	now := m.d.bootClock()
--- a/internal/membership/plan.go
+++ b/internal/membership/plan.go
@@ -114,6 +114,10 @@
 	}
 	var kept, removed []string
 	for _, vm := range voters {
+		limit := limit
+		if s.Presence.goneFor(s.Now, vm, 0) {
+			limit = min(limit, shortPatience) // it has left, or its process has ended
+		}
 		if s.Presence.Silence(s.Now, vm) > limit {
 			removed = append(removed, vm)
 		} else {
