entryvm: an owner that waits for reads of its predecessors does not hand over

What callers could see: two VMs that act as the owner of a service for up to half a second. The owner after a takeover waits until the former one can no longer rely on a read of its record. If it hands the service over meanwhile, its successor does not wait.

Cause: the check was made at stores with eras only.

Change: it is made always.

--- a/internal/entryvm/claim.go
+++ b/internal/entryvm/claim.go
@@ -451,7 +451,7 @@
 	held := o.leases[record.Service]
 	mayBeLost := record.Era < era && (held == nil || !held.Confirmed(now, voters, o.ended))
 	// The successor does not wait for reads of the record by earlier owners.
-	waits := era > 0 && (record.LostPredecessors || !record.HandedOver && slices.ContainsFunc(record.Predecessors,
+	waits := (record.LostPredecessors || !record.HandedOver && slices.ContainsFunc(record.Predecessors,
 		func(run directory.RunID) bool { return !o.ended(run) })) && (held == nil || !held.Valid(now, voters, o.ended))
 	next := nextRecord(record.OwnerRecord, record.Service, vm.RunID(), era, o.ended)
 	next.LostPredecessors = next.LostPredecessors && (held == nil || !held.NoneBefore(now, voters, o.ended))
--- a/internal/entryvm/claim_test.go
+++ b/internal/entryvm/claim_test.go
@@ -5,6 +5,9 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"siskinrouter/internal/directory"
+	"siskinrouter/internal/lease"
 )
 
 // Guards against a flood of store calls during an outage: without a backoff, a VM retries the claim of each vacant
@@ -51,3 +54,26 @@
 	p.record(minClaimBackoff, false, false)
 	is.True(p.allow(minClaimBackoff))
 }
+
+// Guards against two valid leases after a takeover and a hand-over in quick succession: the successor does not wait for the
+// reads of the first owner, so the second one has to have waited.
+func TestHandOverWaitsForReadsOfPredecessors(t *testing.T) {
+	is := is.New(t)
+	s := &returnedStore{}
+	d := isolatedOwner(t, "ledger")
+	d.deps.Store = s
+	o := d.ownership
+	first := directory.RunID{Name: "b", Incarnation: 1}
+	s.stored = directory.Entry{Name: "service.ledger", Revision: 7, OwnerRecord: &directory.OwnerRecord{Service: "ledger", Epoch: 3,
+		Holder: d.self.RunID(), Predecessors: []directory.RunID{first}}}
+	o.leases["ledger"] = lease.New(d.bootClock(), *s.stored.OwnerRecord)
+	d.directory.Put(0, directory.Fleet, s.stored)
+	o.recordAck("a", d.bootClock(), []string{"ledger"})
+	o.recordAck("b", d.bootClock(), []string{"ledger"})
+	record := d.directory.View().OwnerRecords["ledger"]
+	o.handOverTo(t.Context(), record, directory.VM{Name: "c", Incarnation: 2})
+	is.Equal(s.writes, 0)
+	o.leases["ledger"].Since -= lease.RecordTTL + lease.SafetyMargin
+	o.handOverTo(t.Context(), record, directory.VM{Name: "c", Incarnation: 2})
+	is.Equal(s.writes, 1)
+}
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -436,8 +436,6 @@
 				lease.Record = next
 			}
 		case "hand over":
-			// Without eras an owner may also hand over while it waits for reads of known predecessors; that both owners may
-			// then be valid is not covered.
 			lease := rapid.SampledFrom(leases).Draw(t, "lease")
 			record := store.current
 			if record.Epoch != lease.Record.Epoch || record.Holder != lease.Record.Holder ||
