--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -185,4 +185,15 @@
 	}
 	_, ok = s.Next()
 	is.True(!ok)
+	s = fleet(time.Minute, 5, 5)
+	s.Era, s.Learned = 2, s.Now
+	gone := []string{"vm00", "vm01", "vm02"}
+	s = s.after(time.Second, gone...)
+	for _, vm := range gone {
+		s.Presence.Refused(s.Now, vm)
+	}
+	_, ok = s.Next()
+	is.True(!ok)
+	_, ok = s.after(unconfirmedWait, gone...).Next()
+	is.True(ok)
 }
--- a/internal/membership/plan.go
+++ b/internal/membership/plan.go
@@ -21,7 +21,7 @@
 	patience       = 6 * time.Second
 	// additionInterval is the time after a change during which VMs that arrive are collected.
 	additionInterval = 2 * time.Second
-	// unconfirmedWait is the time after which a majority of voters that have all restarted is believed.
+	// unconfirmedWait is the time after which voters that have restarted or are gone count in favor of the known configuration.
 	unconfirmedWait = 3 * time.Second
 	// GoneAfter is the silence after which a VM counts as gone for good. It is far longer than the outages that the users
 	// expect.
@@ -84,9 +84,13 @@
 }
 
 // noneLater reports whether no later configuration can be in use than the present one, which was written before the store
-// returned from an older copy: a majority of the voters states so.
+// returned from an older copy: a majority of the voters states so. After a while those count that have restarted or are gone:
+// a VM that knows of a later one has then had the time to say so.
 func (s Situation) noneLater() bool {
 	agrees := func(vm string) bool {
+		if s.Presence.goneFor(s.Now, vm, unconfirmedWait) && s.Now-s.Learned >= unconfirmedWait {
+			return true
+		}
 		c := s.Presence.contacts[vm]
 		return c != nil && c.number <= s.Current.Number && s.Presence.HeardWithin(s.Now, vm, recent) &&
 			(c.confirmed || s.Now-max(c.since, s.Learned) >= unconfirmedWait)
