--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -70,6 +70,7 @@
 		Subcommands: []*ffcli.Command{
 			e.serveCommand(),
 			e.edgeCommand(),
+			e.membersCommand(),
 			e.configCommand(),
 			e.keyCommand(),
 			e.domainCommand(),
--- a/internal/entryvm/daemon.go
+++ b/internal/entryvm/daemon.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -156,6 +157,9 @@
 			d.ownership.broadcast.Store(true)
 		}
 	}
+	if !maps.Equal(old.VMs, next.VMs) {
+		d.members.vmsChanged(old, next)
+	}
 	if old.Voters.Number != next.Voters.Number {
 		d.members.votersChanged(next.Voters)
 		d.ownership.changeVoters(old.Voters.Configuration)
@@ -235,6 +239,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WriteOnce(d.registry, w) })
+	mux.HandleFunc("GET /members", d.members.serveList)
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second, ReadTimeout: metricsTimeout,
 		WriteTimeout: metricsTimeout, IdleTimeout: metricsTimeout, MaxHeaderBytes: maxHeaderBytes}
 	ln = netopt.Limit(ln, d.settings.Load().Callers.Probes)
--- a/internal/entryvm/isolation_test.go
+++ b/internal/entryvm/isolation_test.go
@@ -1,7 +1,9 @@
 package entryvm
 
 import (
+	"encoding/json"
 	"io"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -110,3 +112,24 @@
 	defer o.mu.Unlock()
 	is.Equal(o.successors(d.directory.View(), "ledger"), []string{"c"})
 }
+
+// Guards against operators who cannot tell which VMs vote, own services and are heard from.
+func TestMemberList(t *testing.T) {
+	is := is.New(t)
+	d := isolatedOwner(t, "ledger", "stock")
+	d.members.presence.Answered(d.bootClock()-time.Second, "b", membership.Report{Incarnation: 1, Number: 1})
+	d.members.recordRemoval("x", "silent")
+	w := httptest.NewRecorder()
+	d.members.serveList(w, nil)
+	var l MemberList
+	is.NoErr(json.Unmarshal(w.Body.Bytes(), &l))
+	is.Equal(l.Coordinator, "a")
+	is.Equal(l.Number, uint64(1))
+	is.Equal(len(l.Members), 3)
+	is.Equal(l.Members[0].Services, 2)
+	is.True(l.Members[1].Voter)
+	is.True(l.Members[1].HeardAgo >= 1)
+	is.Equal(l.Members[1].Number, uint64(1))
+	is.True(l.Members[2].HeardAgo < 0)
+	is.Equal(l.Removals[0].VM, "x")
+}
--- a/internal/entryvm/members.go
+++ b/internal/entryvm/members.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -67,16 +68,18 @@
 	polledAt           time.Duration
 	checkedGoneAt      time.Duration
 	removed            map[directory.RunID]bool
+	seen               map[string]firstSeen // by VM
+	removals           []Removal            // latest last
 	number, size       metrics.Gauge
-	changes, removals  metrics.Counter
+	changes, vmsGone   metrics.Counter
 }
 
 func newMembers(d *Daemon) *members {
 	return &members{d: d, presence: membership.NewPresence(), listedAt: d.bootClock(), removed: map[directory.RunID]bool{},
-		number:   metrics.GetOrRegisterGauge("voters.number", d.registry),
-		size:     metrics.GetOrRegisterGauge("voters.size", d.registry),
-		changes:  metrics.GetOrRegisterCounter("voters.changes", d.registry),
-		removals: metrics.GetOrRegisterCounter("vms.removed", d.registry)}
+		number:  metrics.GetOrRegisterGauge("voters.number", d.registry),
+		size:    metrics.GetOrRegisterGauge("voters.size", d.registry),
+		changes: metrics.GetOrRegisterCounter("voters.changes", d.registry),
+		vmsGone: metrics.GetOrRegisterCounter("vms.removed", d.registry)}
 }
 
 // run changes the voters and removes VMs that are gone while that is this VM's duty.
@@ -218,12 +221,15 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.vetoUntil = m.d.bootClock() + vetoTime // until the store has reported it
+	for _, vm := range change.Removed {
+		m.recordRemoval(vm, fmt.Sprintf("votes no more since configuration %d: silent", change.Next.Number))
+	}
 }
 
 // listFirst lists the fleet before the first configuration is written: VMs that start together do not know each other yet.
 // It reports whether this VM should still write it.
 func (m *members) listFirst(ctx context.Context, v **directory.View, change *membership.Change) bool {
-	if !m.list(ctx) {
+	if !m.listFleet(ctx) {
 		return false
 	}
 	*v = m.d.directory.View()
@@ -232,8 +238,8 @@
 	return due && (*v).Voters.Number == 0 && m.standsIn(*v, 0)
 }
 
-// list lists the fleet in the store.
-func (m *members) list(ctx context.Context) bool {
+// listFleet lists the fleet in the store.
+func (m *members) listFleet(ctx context.Context) bool {
 	l, err := m.d.deps.Store.List(ctx, directory.Fleet)
 	if err != nil {
 		m.d.log.Warn("fleet not listed", "error", err)
@@ -253,7 +259,7 @@
 	}
 	m.mu.Unlock()
 	if due {
-		go m.list(ctx)
+		go m.listFleet(ctx)
 	}
 }
 
@@ -523,7 +529,8 @@
 		m.d.log.Warn("record of a VM that is gone was not removed", "vm", vm.Name, "error", err)
 		delete(m.removed, vm.RunID())
 	default:
-		m.removals.Inc(1)
+		m.vmsGone.Inc(1)
+		m.recordRemoval(vm.Name, fmt.Sprintf("record removed: silent for %s", silence.Round(time.Second)))
 		m.presence.Forget(vm.Name)
 	}
 }
--- a/internal/membership/presence.go
+++ b/internal/membership/presence.go
@@ -104,6 +104,14 @@
 	return 0
 }
 
+// LastHeard returns when a VM was last heard from, 0 if it was not, and the configuration that it then knew.
+func (p *Presence) LastHeard(vm string) (at time.Duration, number uint64) {
+	if c := p.contacts[vm]; c != nil {
+		return c.heardAt, c.number
+	}
+	return 0, 0
+}
+
 // HeardWithin reports whether a VM was heard from within the given time.
 func (p *Presence) HeardWithin(now time.Duration, vm string, within time.Duration) bool {
 	c := p.contacts[vm]
