--- a/internal/cli/members_test.go
+++ b/internal/cli/members_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
-	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -23,7 +22,7 @@
 	}))
 	defer server.Close()
 	var out, errOut bytes.Buffer
-	address := strings.TrimPrefix(server.URL, "http://")
+	address := server.Listener.Addr().String()
 	is.Equal(Run(context.Background(), []string{"members", address}, &out, &errOut), exitOK)
 	is.Equal(out.String(), "seen by a; coordinator b; voters 7 (change under way)\n"+
 		"NAME  DOMAIN  ADDRESS     KNOWN FOR  VOTER  SERVICES  HEARD      VOTERS KNOWN\n"+
--- a/internal/entryvm/isolation_test.go
+++ b/internal/entryvm/isolation_test.go
@@ -102,9 +102,8 @@
 	d := isolatedOwner(t, "ledger")
 	o := d.ownership
 	past := d.bootClock() - 3*time.Second
-	for _, vm := range []string{"b", "c"} {
-		d.members.presence.Heard(past, vm)
-	}
+	d.members.presence.Heard(past, "b")
+	d.members.presence.Heard(past, "c")
 	d.members.presence.Polled(past, "b")
 	d.directory.MergeVoters(0, directory.VotersEntry{Revision: 9,
 		Configuration: membership.Configuration{Number: 2, Oldest: 2, Voters: []string{"a", "c"}}})
--- a/internal/entryvm/members.go
+++ b/internal/entryvm/members.go
@@ -68,18 +68,21 @@
 	polledAt           time.Duration
 	checkedGoneAt      time.Duration
 	removed            map[directory.RunID]bool
+	silentVMs          map[string]bool      // reported as silent
 	seen               map[string]firstSeen // by VM
 	removals           []Removal            // latest last
 	number, size       metrics.Gauge
+	silentCount        metrics.Gauge
 	changes, vmsGone   metrics.Counter
 }
 
 func newMembers(d *Daemon) *members {
-	return &members{d: d, presence: membership.NewPresence(), listedAt: d.bootClock(), removed: map[directory.RunID]bool{},
-		number:  metrics.GetOrRegisterGauge("voters.number", d.registry),
-		size:    metrics.GetOrRegisterGauge("voters.size", d.registry),
-		changes: metrics.GetOrRegisterCounter("voters.changes", d.registry),
-		vmsGone: metrics.GetOrRegisterCounter("vms.removed", d.registry)}
+	return &members{d: d, presence: membership.NewPresence(), listedAt: d.bootClock(), removed: map[directory.RunID]bool{}, silentVMs: map[string]bool{},
+		number:      metrics.GetOrRegisterGauge("voters.number", d.registry),
+		silentCount: metrics.GetOrRegisterGauge("vms.silent", d.registry),
+		size:        metrics.GetOrRegisterGauge("voters.size", d.registry),
+		changes:     metrics.GetOrRegisterCounter("voters.changes", d.registry),
+		vmsGone:     metrics.GetOrRegisterCounter("vms.removed", d.registry)}
 }
 
 // run changes the voters and removes VMs that are gone while that is this VM's duty.
@@ -124,10 +127,34 @@
 		m.changeVoters(ctx, v, now)
 	}
 	if coordinates {
+		m.reportSilence(v, now)
 		m.removeGone(ctx, v, now)
 	}
 }
 
+// reportSilence logs which VMs have fallen silent, and which are heard from again.
+func (m *members) reportSilence(v *directory.View, now time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for name := range m.silentVMs {
+		if _, known := v.VMs[name]; !known {
+			delete(m.silentVMs, name)
+		}
+	}
+	for name := range v.VMs {
+		silence := m.presence.Silence(now, name)
+		switch reported := m.silentVMs[name]; {
+		case silence > otherSilence && !reported:
+			m.silentVMs[name] = true
+			m.d.log.Info("VM is silent", "vm", name, "for", silence, "voter", v.Voters.Votes(name))
+		case silence == 0 && reported:
+			delete(m.silentVMs, name)
+			m.d.log.Info("VM is heard from again", "vm", name)
+		}
+	}
+	m.silentCount.Update(int64(len(m.silentVMs)))
+}
+
 // coordinates reports whether this VM is the promotion coordinator.
 func (m *members) coordinates() bool {
 	record, ok := coordinatorRecord(m.d.directory.View())
@@ -202,8 +229,16 @@
 		m.mu.Unlock()
 		return
 	}
-	if v.Voters.Number == 0 && !m.listFirst(ctx, &v, &change) {
-		return
+	if v.Voters.Number == 0 {
+		// VMs that start together do not know each other yet.
+		if !m.listFleet(ctx) {
+			return
+		}
+		var due bool
+		v = m.d.directory.View()
+		if change, due = m.next(v, m.d.bootClock()); !due || v.Voters.Number > 0 || !m.standsIn(v, 0) {
+			return
+		}
 	}
 	m.d.log.Info("changing voters", "number", change.Next.Number, "before", v.Voters.Number, "reason", change.Reason,
 		"voters", change.Next.Voters, "outgoing", change.Next.Outgoing, "silent", change.Removed)
@@ -226,18 +261,6 @@
 	}
 }
 
-// listFirst lists the fleet before the first configuration is written: VMs that start together do not know each other yet.
-// It reports whether this VM should still write it.
-func (m *members) listFirst(ctx context.Context, v **directory.View, change *membership.Change) bool {
-	if !m.listFleet(ctx) {
-		return false
-	}
-	*v = m.d.directory.View()
-	next, due := m.next(*v, m.d.bootClock())
-	*change = next
-	return due && (*v).Voters.Number == 0 && m.standsIn(*v, 0)
-}
-
 // listFleet lists the fleet in the store.
 func (m *members) listFleet(ctx context.Context) bool {
 	l, err := m.d.deps.Store.List(ctx, directory.Fleet)
@@ -290,6 +313,9 @@
 		return "", ""
 	}
 	for by, report := range m.query(v, peer.PresenceQuery{VMs: vms}) {
+		if slices.Contains(vms, by) {
+			return m.d.self.Name, by
+		}
 		if len(report.Heard) > 0 {
 			return by, report.Heard[0]
 		}
@@ -378,13 +404,14 @@
 	return m.voter.Confirmed() && !m.retired
 }
 
-// confirmByMajority lets this run vote if a majority of confirmed voters knows of no later configuration.
+// confirmByMajority lets this run vote if a majority of confirmed voters knows of no later configuration. Others take a VM
+// without a record for one that has left.
 func (m *members) confirmByMajority(v *directory.View, reports map[string]peer.PresenceReport) {
 	agrees := func(vm string) bool {
 		r, ok := reports[vm]
 		return ok && r.State.Confirmed && r.State.Number <= v.Voters.Number
 	}
-	if !v.Voters.Majority(agrees) {
+	if _, recorded := v.VMs[m.d.self.Name]; !recorded || !v.Voters.Majority(agrees) {
 		return
 	}
 	m.mu.Lock()
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -511,12 +511,10 @@
 			}
 		case "ask voters":
 			vm := draw("asks")
-			answers := map[string]bool{}
-			for _, name := range vm.voters.Members() {
-				other := vms[name]
-				answers[name] = !rapid.Bool().Draw(t, "lost") && other.member.Confirmed() && other.voters.Number <= vm.voters.Number
+			confirms := func(name string) bool {
+				return !rapid.Bool().Draw(t, "lost") && vms[name].member.Confirmed() && vms[name].voters.Number <= vm.voters.Number
 			}
-			if vm.voters.Majority(func(vm string) bool { return answers[vm] }) {
+			if vm.voters.Majority(confirms) {
 				vm.member.Confirm()
 			}
 		}
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -10,11 +10,9 @@
 	"pgregory.net/rapid"
 )
 
-const promise = 1050 * time.Millisecond
-
 // fleet is a situation whose VMs all know the present configuration and answer.
 func fleet(now time.Duration, voters, vms int) Situation {
-	s := Situation{Now: now, Presence: NewPresence(), PromiseTime: promise, Domain: func(vm string) string { return vm[len(vm)-1:] }}
+	s := Situation{Now: now, Presence: NewPresence(), PromiseTime: 1050 * time.Millisecond, Domain: func(vm string) string { return vm[len(vm)-1:] }}
 	for i := range vms {
 		s.Candidates = append(s.Candidates, fmt.Sprintf("vm%02d", i))
 	}
@@ -151,7 +149,7 @@
 	later.Presence.Refused(later.Now, "vm03")
 	_, ok = later.Next()
 	is.True(!ok) // it may have promised just before
-	later = later.after(promise, "vm03", "vm04")
+	later = later.after(s.PromiseTime, "vm03", "vm04")
 	_, ok = later.Next()
 	is.True(ok)
 	later.Presence.Answered(later.Now, "vm01", Report{Incarnation: 3, Number: 4})
@@ -189,9 +187,9 @@
 	s.Era, s.Learned = 2, s.Now
 	gone := []string{"vm00", "vm01", "vm02"}
 	s = s.after(time.Second, gone...)
-	for _, vm := range gone {
-		s.Presence.Refused(s.Now, vm)
-	}
+	s.Presence.Refused(s.Now, "vm00")
+	s.Presence.Refused(s.Now, "vm01")
+	s.Presence.Refused(s.Now, "vm02")
 	_, ok = s.Next()
 	is.True(!ok)
 	_, ok = s.after(unconfirmedWait, gone...).Next()
