entryvm: no first configuration of the voters while another VM knows one

What callers could see: two VMs that act as the owner of a service. A VM that starts while the store lacks the configuration of the voters, because it returned from an older copy, could write a first one, which replaces the one in force without a joint configuration.

Change: handshakes and renewals name the number that the sender knows, and a VM that has heard of one waits for it. Renewals carry the configuration for as long as the store lacks it.

Evidence: TestFirstVotersOnlyInNewFleet fails without the change.

--- a/internal/entryvm/handler.go
+++ b/internal/entryvm/handler.go
@@ -16,7 +16,8 @@
 
 // Hello implements peer.Handler.
 func (h *handler) Hello() peer.Hello {
-	return peer.Hello{VM: h.d.self, LastChanges: h.d.directory.View().LastChanges, Reserves: true}
+	return peer.Hello{VM: h.d.self, LastChanges: h.d.directory.View().LastChanges, Reserves: true,
+		VotersNumber: h.d.directory.View().Voters.Number}
 }
 
 // Handle implements peer.Handler.
@@ -36,6 +37,7 @@
 		d.ownership.recordIsolation(l.Remote().RunID(), m.Renewal.Isolated)
 		d.ownership.recordLeaving(l.Remote().RunID(), m.Renewal.Leaving)
 		d.members.heard(l.Remote().Name)
+		d.members.othersKnow(m.Renewal.VotersNumber)
 		if m.Renewal.Voters != nil {
 			d.directory.MergeVoters(d.clock(), *m.Renewal.Voters)
 		}
@@ -77,6 +79,7 @@
 		d.directory.MergeVM(d.clock(), m.Hello.VM)
 		d.ownership.clearRefused(m.Hello.VM)
 		d.members.heard(m.Hello.VM.Name)
+		d.members.othersKnow(m.Hello.VotersNumber)
 		d.peers.Announced(m.Hello.VM.Address)
 		d.ownership.renewUnconfirmed()
 		d.requestChanges(l, m.Hello.LastChanges)
--- a/internal/entryvm/isolation_test.go
+++ b/internal/entryvm/isolation_test.go
@@ -14,6 +14,7 @@
 	"siskinrouter/internal/directory"
 	"siskinrouter/internal/lease"
 	"siskinrouter/internal/membership"
+	"siskinrouter/internal/peer"
 )
 
 // isolatedOwner returns a VM that owns services and voted for itself, in a fleet of three whose other VMs are silent.
@@ -112,6 +113,16 @@
 	is.Equal(o.successors(d.directory.View(), "ledger"), []string{"c"})
 }
 
+// Guards against a VM that starts while the store lacks the configuration of the voters and replaces the one that others know.
+func TestFirstVotersOnlyInNewFleet(t *testing.T) {
+	is := is.New(t)
+	d := New(Settings{Name: "a"}, Dependencies{}, log.New(io.Discard), metrics.NewRegistry())
+	d.start = time.Now().Add(-time.Minute)
+	is.True(d.members.standsIn(d.directory.View(), 0))
+	(&handler{d}).Handle(&peer.Link{}, peer.Message{Hello: &peer.Hello{VM: directory.VM{Name: "b", Incarnation: 1}, VotersNumber: 5}})
+	is.True(!d.members.standsIn(d.directory.View(), 0))
+}
+
 // Guards against operators who cannot tell which VMs vote, own services and are heard from.
 func TestMemberList(t *testing.T) {
 	is := is.New(t)
--- a/internal/entryvm/members.go
+++ b/internal/entryvm/members.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -58,11 +59,14 @@
 	listedEra uint64
 	listedAt  time.Duration
 	retired   bool
-	presence  *membership.Presence
-	learned   time.Duration // when this VM learned of the present voters
-	changing  bool
-	backoff   claimBackoff
-	vetoUntil time.Duration
+	// knownElsewhere is set once another VM has reported a configuration of the voters. The store may have lost it; a first
+	// one would then replace it without a joint configuration.
+	knownElsewhere atomic.Bool
+	presence       *membership.Presence
+	learned        time.Duration // when this VM learned of the present voters
+	changing       bool
+	backoff        claimBackoff
+	vetoUntil      time.Duration
 	// uncoordinatedSince is since when this VM has not heard from a promotion coordinator; 0 if it has.
 	uncoordinatedSince time.Duration
 	polledAt           time.Duration
@@ -176,7 +180,7 @@
 	}
 	rank = min(rank, maxRank)
 	if v.Voters.Number == 0 {
-		return m.d.clock() >= firstVotersDelay+time.Duration(rank)*firstVotersRankDelay
+		return !m.knownElsewhere.Load() && m.d.clock() >= firstVotersDelay+time.Duration(rank)*firstVotersRankDelay
 	}
 	return missing >= standInDelay+time.Duration(rank)*standInRankDelay
 }
@@ -448,14 +452,24 @@
 	m.presence.ConfigurationChanged()
 }
 
-// announced returns the configuration that renewals carry, nil if it is not a new one.
+// othersKnow records the number of the configuration of the voters that another VM knows.
+func (m *members) othersKnow(number uint64) {
+	if number == 0 || m.knownElsewhere.Swap(true) {
+		return
+	}
+	if m.d.directory.View().Voters.Number == 0 {
+		m.d.log.Info("voters are known to another VM; waiting for them", "number", number)
+	}
+}
+
+// announced returns the configuration that renewals carry, nil if it is neither new nor missing in the store.
 func (m *members) announced(v *directory.View) *directory.VotersEntry {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.d.bootClock()-m.learned > announceVotersTime {
-		return nil
+	if lost := v.Voters.Number > 0 && directory.NumberOf(v.Voters.Revision) == 0; lost || m.d.bootClock()-m.learned <= announceVotersTime {
+		return &v.Voters
 	}
-	return &v.Voters
+	return nil
 }
 
 // polled records that the voters, and if all is set the other VMs as well, were sent a message that they have to answer.
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -46,6 +46,8 @@
 type Hello struct {
 	VM          directory.VM                `cbor:"1,keyasint,omitzero"`
 	LastChanges [directory.KindCount]uint64 `cbor:"2,keyasint,omitzero"` // revision of the last change of each kind known to the sender
+	// VotersNumber is the number of the configuration of the voters that the sender knows, 0 if it knows none.
+	VotersNumber uint64 `cbor:"3,keyasint,omitzero"`
 	// Reserves is set if the sender responds to Reserve.
 	Reserves bool `cbor:"30,keyasint,omitzero"`
 }
