--- a/internal/cli/members_test.go
+++ b/internal/cli/members_test.go
@@ -13,8 +13,7 @@
 
 // Guards against a table that leaves out why a VM is missing, and against an error page that is taken for a fleet without VMs.
 func TestMembers(t *testing.T) {
-	is := is.New(t)
-	status := http.StatusOK
+	is, status := is.New(t), http.StatusOK
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.WriteHeader(status)
 		fmt.Fprint(w, `{"vm":"a","coordinator":"b","number":7,"joint":true,"members":[{"name":"a","domain":"bne","address":"10.0.0.1:7",`+
