--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"siskinrouter/internal/membership"
 )
 
 func serverEntry(id string, revision uint64) Entry {
@@ -209,3 +211,25 @@
 	is.Equal(d.View().LastChanges[Fleet], uint64(6))
 	is.Equal(len(d.Changes(Fleet, 4).Entries), 1)
 }
+
+// Guards against a voter that joins, learns of the completed change alone, and promises to an owner whose successor it does not
+// know; and against a store that returns empty or with earlier voters and replaces those in force.
+func TestVotersInForce(t *testing.T) {
+	is := is.New(t)
+	d := New()
+	voters := func(number, oldest uint64, names ...string) *membership.Configuration {
+		return &membership.Configuration{Number: number, Oldest: oldest, Voters: names}
+	}
+	first := Entry{Name: VotersName, Revision: 3, Voters: voters(1, 1, "a")}
+	d.Replace(0, Listing{Kind: Fleet, Revision: 4, Entries: []Entry{first}})
+	d.MergeVoters(0, VotersEntry{*voters(2, 2, "b"), 6})
+	is.Equal(d.View().Voters.Number, uint64(2)) // a joint one counts at once
+	d.MergeVoters(0, VotersEntry{*voters(3, 2, "b"), 8})
+	is.Equal(d.View().Voters.Number, uint64(2))
+	d.Update(0, Listing{Kind: Fleet, Revision: 8})
+	is.Equal(d.View().Voters.Number, uint64(3))
+	d.Replace(0, Listing{Kind: Fleet, Revision: 9, Entries: []Entry{{Name: VotersName, Revision: 9, Voters: voters(1, 1, "a")}}})
+	is.Equal(d.View().Voters, VotersEntry{*voters(3, 2, "b"), 9}) // to be written over revision 9
+	d.Replace(0, Listing{Kind: Fleet, Revision: 10})
+	is.Equal(d.View().Voters, VotersEntry{*voters(3, 2, "b"), 0})
+}
--- a/internal/entryvm/preference_test.go
+++ b/internal/entryvm/preference_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"fmt"
+	"io"
 	"slices"
 	"testing"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
 
 	"siskinrouter/internal/directory"
 )
@@ -108,6 +111,24 @@
 	}
 }
 
+// Guards against renewals that grow with the fleet, and against VMs that disagree on the voters: whoever writes the first
+// configuration chooses the same, whoever owns services.
+func TestVoters(t *testing.T) {
+	is := is.New(t)
+	voters := func(self string, v *directory.View) []string {
+		d := New(Settings{Name: self}, Dependencies{}, log.New(io.Discard), metrics.NewRegistry())
+		change, due := d.members.next(v, d.bootClock())
+		is.True(due)
+		return change.Next.Voters
+	}
+	is.Equal(len(voters("vm-1", fleetView(9, 3))), 9)
+	large := fleetView(82, 8)
+	names := voters("vm-1", large)
+	is.Equal(len(names), 9) // voterCount of membership
+	large = fleetView(82, 8, owns(names[0], "service-0"), owns(names[1], "service-1"))
+	is.Equal(voters("vm-2", large), names)
+}
+
 // Guards against a VM that starts slightly earlier and claims most services of a large fleet, and against owners on
 // every small VM, whose renewals grow with their number. Simulates the start of 10 large and 90 small VMs with 300
 // services; each checks every 100 ms, one of the large ones 300 ms before all others.
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -586,6 +586,30 @@
 	is.Equal(l.HeardShare(time.Minute+failedTimeout, members, none, never), 1.0)
 }
 
+// Guards against a former owner that acts again after a change of the voters: a voter that joined promised to it under the joint
+// configuration, before it knew the owners that those who have left had promised to.
+func TestPromiseBeforeChangeOfVotersDoesNotCount(t *testing.T) {
+	is := is.New(t)
+	now := time.Minute
+	joint := membership.Configuration{Number: 2, Oldest: 2, Voters: []string{"d"}, Outgoing: []string{"a", "b", "c"}}
+	l := New(0, directory.OwnerRecord{Service: testService, Epoch: 1})
+	l.RecordGrant("d", now)
+	is.True(!l.Valid(now, joint, noneEnded)) // no majority of the outgoing voters
+	l.VotersChanged(now+1, joint)
+	is.True(!l.Valid(now+1, membership.Of("d"), noneEnded))
+	l.RecordGrant("d", now) // of a renewal sent before the change
+	is.True(!l.Valid(now+1, membership.Of("d"), noneEnded))
+	l.RecordGrant("d", now+1)
+	is.True(l.Valid(now+1, membership.Of("d"), noneEnded))
+
+	l = New(0, directory.OwnerRecord{Service: testService, Epoch: 1})
+	l.RecordGrant("a", now)
+	l.RecordGrant("b", now)
+	l.VotersChanged(now+1, membership.Of("a", "b", "c"))
+	is.True(l.Valid(now+1, joint, noneEnded)) // the majority before has promised
+	is.True(!l.Valid(now+TTL, joint, noneEnded))
+}
+
 // Guards against an owner that counts promises to a former ownership of the same VM: the voter may have promised to the owner
 // in between meanwhile.
 func TestGrantOfFormerOwnershipDoesNotCount(t *testing.T) {
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -12,7 +12,7 @@
 
 // fleet is a situation whose VMs all know the present configuration and answer.
 func fleet(now time.Duration, voters, vms int) Situation {
-	s := Situation{Now: now, Presence: NewPresence(), PromiseTime: 1050 * time.Millisecond, Domain: func(vm string) string { return vm[len(vm)-1:] }}
+	s := Situation{Now: now, Presence: NewPresence(), PromiseTime: 1050 * time.Millisecond, Domain: func(vm string) string { return vm[2:3] }}
 	for i := range vms {
 		s.Candidates = append(s.Candidates, fmt.Sprintf("vm%02d", i))
 	}
@@ -58,6 +58,10 @@
 		first, second := subset("first"), subset("second")
 		both := func(vm string) bool { return in(first)(vm) && in(second)(vm) }
 		for _, other := range []Configuration{joint, Of(joint.Voters...), Of(joint.Outgoing...)} {
+			at := func(vm string) (time.Duration, bool) { return time.Second, in(first)(vm) }
+			if _, reached := other.Reached(at); reached != other.Majority(in(first)) {
+				t.Fatalf("%v reached by %v: %v", other, first, reached)
+			}
 			if joint.Majority(in(first)) && other.Majority(in(second)) && !slices.ContainsFunc(names, both) {
 				t.Fatalf("%v of %v and %v of %v share no voter", first, joint, second, other)
 			}
